Keep a server ejected when its trial is answered full or called off

A hung server's queue fills.

Ruled out: servers that admit little of a class (all 503s came from two servers, from the moment they had been ejected), an overloaded fleet (the median answer took 12 ms, with 3 to 5 requests in flight).

--- a/tests/test_draw.py
+++ b/tests/test_draw.py
@@ -131,6 +131,23 @@
     assert stage.said(Log)[-1].text == f"readmitted {hung}"
 
 
+@pytest.mark.parametrize("outcome", [Outcome.FULL, Outcome.CANCELLED])
+def test_a_trial_that_brings_no_answer_keeps_the_server_out(outcome: Outcome) -> None:
+    stage = Stage()
+    hung, stuck = _with_one_hung(stage, 20)
+    for request in stuck:
+        stage.end(request, Outcome.EXPIRED, attempt=0, answered=False)
+    stage.wait(10 * S)  # the ejection has run out
+    trial = stage.request()
+    assert stage.target(trial) == hung
+    stage.end(trial, outcome)
+    stage.end(trial)  # drawn again, it is served elsewhere
+    sent = len(stage.sends())
+    stage.serve(20)
+    targets = [each.server for _, each in stage.sends()[sent:]]
+    assert targets and hung not in targets
+
+
 def test_servers_that_are_all_silent_are_not_all_ejected() -> None:
     stage = Stage()
     stage.servers(names(6))
--- a/topazbank/balancer.py
+++ b/topazbank/balancer.py
@@ -1,7 +1,5 @@
 """All decisions of a sidecar balancer, by best-of-k with redraw.
 
-Types, events and actions: topazbank/interface.py.  The reasons for each departure: docs/design.md.
-
 Per request: draw k random distinct ready servers and send to the one with the fewest of this balancer's own
 requests in flight; on a full answer draw again, wider.  Every attempt leaves through `_send` and every final
 answer through `_finish`; those two enforce the rules, whatever the code around them decides.
@@ -467,9 +465,8 @@
         server, tied = self._choose(request)
         if tied:
             self._ask_tied(request, tied)
-        elif server is None or not self._send(request, server):
-            if not request.is_out():
-                self._finish(request)
+        elif (server is None or not self._send(request, server)) and not request.is_out():
+            self._finish(request)
 
     def _request_gone(self, event: RequestGone) -> None:
         request = self._requests.get(event.request)
@@ -1131,6 +1128,8 @@
                 self._eject(server, outcome.value)
                 if server.unreached >= (1 if trial else STRIKES):  # broken connections alone prove nothing
                     self._turned_cold(server, self._now)  # its process may come back before the list says so
+        elif trial and outcome is not Outcome.UNSENT:
+            self._eject(server, outcome.value)  # full, or called off when overdue: it is no better yet
 
     def _eject(self, server: Server, reason: str, most: float = EJECTED_MOST) -> None:
         if server.state is ServerState.GONE:
