Learn from broken requests how long idle connections last

Idle connections were used for as long as the settings keep them open. Upstream now counts, by idle age, the requests that break at once on a connection used before, and opens a new one where markedly more break than on new connections.

Ruled out: crossings with the server's own close (no FIN preceded the resets, and resets are no commoner just after an answer), a defect of framing (answers came whole, with no Connection: close), servers that die (all servers alike). New connections and those idle for under 0.1 s break on 3.6% of requests; that is the network, and stays.

--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -27,6 +27,7 @@
 from topazbank.net.upstream import (
     Address,
     Exchange,
+    IdleAges,
     Order,
     Response,
     Upstream,
@@ -266,6 +267,51 @@
     play(scene())
 
 
+def test_connections_that_break_once_idle_for_long_are_not_trusted_for_that_long() -> None:
+    ages = IdleAges(10.0)
+    for _ in range(40):
+        ages.note(None, False, 0.0)
+        ages.note(0.04, False, 0.0)
+    assert ages.lasts(5.0, 0.0)
+    for number in range(40):
+        ages.note(0.3, number % 3 == 0, 0.0)
+    assert ages.lasts(0.04, 0.0)
+    assert not ages.lasts(0.3, 0.0) and not ages.lasts(5.0, 0.0)
+    assert ages.lasts(5.0, 40.0)  # what was learnt has faded
+
+
+def test_breaks_that_new_connections_suffer_too_are_not_laid_to_idleness() -> None:
+    ages = IdleAges(10.0)
+    for number in range(60):
+        ages.note(None, number % 4 == 0, 0.0)
+        ages.note(0.3, number % 4 == 0, 0.0)
+    assert ages.lasts(0.3, 0.0)
+
+
+def test_where_idle_connections_break_requests_get_new_ones() -> None:
+    async def scene() -> None:
+        used: set[asyncio.StreamWriter] = set()
+
+        def once(*_: object) -> bytes:
+            writer = server.writers[-1]
+            if writer in used:
+                return b""
+            used.add(writer)
+            return served()
+
+        server = FakeServer("s", once)
+        await server.start()
+        upstream = Upstream(30.0, 60.0, 10)
+        upstream._rest_s = 0.0  # connections are used again at once
+        upstream.update("s", server.address, None, ServerState.READY)
+        outcomes = [await outcome_of(upstream) for _ in range(30)]
+        assert Outcome.DROPPED in outcomes
+        assert set(outcomes[10:]) == {Outcome.DELIVERED}
+        server.stop()
+
+    play(scene())
+
+
 def test_an_idle_connection_is_closed_before_its_server_would() -> None:
     async def scene() -> None:
         limits = {"max_attempts": 3, "may_cancel": True, "idle_close_us": 1 * S}
--- a/topazbank/net/upstream.py
+++ b/topazbank/net/upstream.py
@@ -9,6 +9,7 @@
 import asyncio
 import json
 import logging
+import math
 import re
 import select
 import socket
@@ -30,6 +31,8 @@
 _REST_PART = 0.12  # of the dial limit: so long a connection rests after an answer before it is used again
 _HINTS_MOST = 8  # 1xx answers ahead of the one that counts
 _IDLE_MARGIN = 0.1  # an idle connection is closed this part of its time before the server would
+_STALE = 0.1  # idle connections are stale where this much more of them break on a request than of new ones
+_AGED_LEAST = 20.0  # requests taken as unbroken beforehand: of fewer, a few broken ones are chance
 _FRAMING = (b"content-length", b"transfer-encoding")
 _BODILESS = (204, 304)  # statuses whose answers hold no body, whatever their head says
 _PROBE_DIALS = 4.0  # a probe may take this many dial time limits
@@ -320,6 +323,54 @@
     dialling: set[Exchange] = field(default_factory=set)
 
 
+@dataclass(slots=True)
+class Tally:
+    """Requests written to connections idle for alike long, and how many of them broke; both fade."""
+
+    uses: float = 0.0
+    breaks: float = 0.0
+    at: float = 0.0
+
+    def fade(self, now: float, span_s: float) -> None:
+        keep = math.exp((self.at - now) / span_s)
+        self.uses, self.breaks, self.at = keep * self.uses, keep * self.breaks, now
+
+
+class IdleAges:
+    """How long idle connections last, learnt from the requests that broke on them.
+
+    Guards against servers and boxes on the way that forget an idle connection long before the time in the
+    settings and tell nobody until the next request.  Breaks that new connections suffer too say nothing.
+    What was learnt fades within a span, so that connections are trusted again once that has passed.
+    """
+
+    def __init__(self, span_s: float) -> None:
+        self._span_s = span_s
+        self._new = Tally()
+        self._tallies: dict[int, Tally] = {}  # by age, each for twice the age of the one before
+
+    def note(self, age_s: float | None, broke: bool, now: float) -> None:
+        """Count a request on a connection that was idle for so long; None: on a new one."""
+        tally = self._new if age_s is None else self._tallies.setdefault(self._step(age_s), Tally(at=now))
+        tally.fade(now, self._span_s)
+        tally.uses += 1.0
+        tally.breaks += broke
+
+    def lasts(self, age_s: float, now: float) -> bool:
+        """Whether a connection idle for so long is as good as a new one; what is older is no better."""
+        step = self._step(age_s)
+        bearable = self._broken(self._new, now) + _STALE
+        return all(self._broken(each, now) <= bearable for at, each in self._tallies.items() if at <= step)
+
+    def _broken(self, tally: Tally, now: float) -> float:
+        tally.fade(now, self._span_s)
+        return tally.breaks / (tally.uses + _AGED_LEAST)
+
+    @staticmethod
+    def _step(age_s: float) -> int:
+        return math.frexp(age_s)[1]
+
+
 Order = Callable[[float], bytes]  # makes a request when it is written, since it tells the time left
 Ended = Callable[[Outcome, Response | None], None]
 
@@ -334,6 +385,8 @@
         self.until = until  # on the event loop's clock
         self.ended: Ended | None = ended
         self.connection: Connection | None = None
+        self.written_at = 0.0
+        self.idle_s: float | None = None  # how long its connection was idle before; None: it was new
         self.dial: asyncio.Task[bool] | None = None
         self.timers: list[asyncio.TimerHandle] = []
 
@@ -373,6 +426,7 @@
         self._dial_limit = dial_limit_s
         self._idle_s = idle_s * (1.0 - _IDLE_MARGIN)
         self._rest_s = _REST_PART * dial_limit_s
+        self._ages = IdleAges(idle_s)
         self._most = most
         self._open = 0  # connections, and dials under way
         self._endpoints: dict[str, Endpoint] = {}  # of the servers that the list holds now
@@ -429,9 +483,9 @@
             exchange.end(Outcome.UNSENT)
             return exchange
         exchange.timers.append(loop.call_at(until, self._time_up, exchange))
-        connection = self._take_idle(endpoint, self._rest_s)
+        connection = self._take_idle(exchange, self._rest_s)
         if connection is None and self._open >= self._most:
-            connection = self._take_idle(endpoint, 0.0)  # no room for another
+            connection = self._take_idle(exchange, 0.0)  # no room for another
         if connection is not None:
             self._write(exchange, connection)
         elif self._make_room():
@@ -481,20 +535,24 @@
         if exchange.connection is None and not is_up(sock):
             exchange.end(Outcome.DIAL_FAILED)
 
-    def _take_idle(self, endpoint: Endpoint, rest_s: float) -> Connection | None:
-        """The last used of those that have rested.
+    def _take_idle(self, exchange: Exchange, rest_s: float) -> Connection | None:
+        """The last used of those that have rested, unless it has been idle for longer than such ones last.
 
         What a server does to a connection after its answer, an end or more bytes, is under way for as long as
         the network takes; what is written meanwhile may have run and would be lost, or get another's answer.
         """
-        closed_by = asyncio.get_running_loop().time() + self._idle_s - rest_s
-        for index in reversed(range(len(endpoint.idle))):
-            connection, timer = endpoint.idle[index]
-            if timer.when() > closed_by:
+        now = asyncio.get_running_loop().time()
+        idle = exchange.endpoint.idle
+        for index in reversed(range(len(idle))):
+            connection, timer = idle[index]
+            idle_s = now + self._idle_s - timer.when()
+            if idle_s < rest_s:
                 continue
-            del endpoint.idle[index]
+            del idle[index]
             timer.cancel()
-            if connection.is_idle():
+            scarce = self._open >= self._most  # then any is better than none
+            if connection.is_idle() and (scarce or self._ages.lasts(idle_s, now)):
+                exchange.idle_s = idle_s
                 return connection
             connection.abort()
         return None
@@ -541,12 +599,19 @@
     def _write(self, exchange: Exchange, connection: Connection) -> None:
         exchange.connection = connection
         exchange.endpoint.dialling.discard(exchange)
-        left = exchange.until - asyncio.get_running_loop().time()
+        exchange.written_at = asyncio.get_running_loop().time()
+        left = exchange.until - exchange.written_at
         connection.request(exchange.order(max(left, 0.0)), partial(self._answered, exchange, connection))
 
     def _answered(self, exchange: Exchange, connection: Connection, response: Response | None) -> None:
         self._put_back(exchange, connection)
-        exchange.end(judge(response, connection.written, connection.spoilt), response)
+        outcome = judge(response, connection.written, connection.spoilt)
+        if exchange.ended is not None:  # else it was given up on, which says nothing of its connection
+            now = asyncio.get_running_loop().time()
+            # A connection forgotten while idle breaks at once; later it is the server that broke.
+            broke = outcome is Outcome.DROPPED and now - exchange.written_at < self._dial_limit
+            self._ages.note(exchange.idle_s, broke, now)
+        exchange.end(outcome, response)
 
     def _put_back(self, exchange: Exchange, connection: Connection) -> None:
         """Keep a connection for the next request, for less long than the server keeps it."""
