Feel overdue attempts as overload only where they are neither lost nor at a silent server

An attempt past its aim was felt as an answer late by far, also where its server had since answered what was sent to it later, and before its server could be ejected as silent. A network that loses one request in twenty was thus taken for an overloaded fleet. Each overdue attempt now has one reading: lost, if later ones overtook it; its server's, if that is ejected for silence; else a sign of overload.

--- a/tests/test_draw.py
+++ b/tests/test_draw.py
@@ -131,6 +131,22 @@
     assert stage.said(Log)[-1].text == f"readmitted {hung}"
 
 
+@pytest.mark.parametrize(("at_once", "felt"), [(1, False), (8, False), (0, True)])
+def test_overdue_tells_of_overload_only_where_it_is_no_lost_attempt_nor_silent_server(
+    at_once: int, felt: bool
+) -> None:
+    stage = Stage()
+    stage.servers(names(4))
+    stage.serve(60)
+    lost = stage.request("pay")
+    for _ in range(20):  # one at a time they go to others, and its server stays silent; many overtake it
+        others = [stage.request() for _ in range(at_once)]
+        stage.wait(50 * MS)
+        for each in others:
+            stage.end(each)
+    assert stage.balancer._requests[lost].attempts[0].felt is felt
+
+
 @pytest.mark.parametrize("outcome", [Outcome.FULL, Outcome.CANCELLED])
 def test_a_trial_that_brings_no_answer_keeps_the_server_out(outcome: Outcome) -> None:
     stage = Stage()
--- a/topazbank/balancer.py
+++ b/topazbank/balancer.py
@@ -152,6 +152,7 @@
     probed_at: int | None = None  # when the probe that is out left
     ghosts: list[int] = field(default_factory=list)  # when each attempt given up on stops counting
     last_answer_at: int = -1
+    answered_from: int = -1  # when the latest sent of its answered attempts was sent
     strikes: int = 0
     unreached: int = 0  # failed dials in a row
     ejections: int = 0
@@ -687,13 +688,8 @@
             self._odds(each, power) * (1.0 if each.zone == self._settings.zone else self._remote)
             for each in pool
         ]
-        best: Server | None = None
-        best_rank = (0, 0.0)
         drawn = self._drawn(pool, odds, DRAWN << request.said_full)
-        for server in drawn:
-            busy = self._busy(server)
-            if best is None or (busy, server.pace) < best_rank:
-                best, best_rank = server, (busy, server.pace)
+        best = min(drawn, key=lambda each: (self._busy(each), each.pace))
         if self._probes > 1 and self._now != self._back_at:  # others that stalled with it would hear the same
             return best, sorted(drawn, key=self._busy)[: self._probes]
         return best, []
@@ -1068,7 +1064,9 @@
         """An attempt takes far longer than usual.
 
         Guards against servers that take work and answer nothing, long before time-outs would tell.  A server
-        that answered anything since is slow, not silent; if others were as silent, all are overloaded.
+        that answered anything since is slow, not silent; if others were as silent, all are overloaded.  Of
+        that a single silent server tells nothing, nor does an attempt that later ones to its server overtook:
+        it was lost on the way.
         """
         server = attempt.server
         silent, others = server.last_answer_at <= attempt.sent_at, self._answers - attempt.answers_before
@@ -1079,17 +1077,19 @@
         waited = self._now - attempt.sent_at - (self._absent_us - attempt.absent_before)
         if waited < request.kind.aim_us:
             self._schedule(self._now + request.kind.aim_us - waited, request.ident, attempt.index)
-        elif not attempt.felt and server.ejected_until is None:
+        enough = max(SILENCE * self._patience(request, server), SILENT_AIMS * request.kind.aim_us)
+        if silent and waited < enough:
+            self._schedule(self._now + int(enough) - waited, request.ident, attempt.index)
+            return
+        if silent and server.ejected_until is None and others >= QUIET_PEERS:
+            self._eject(server, "silent", SILENT_MOST)
+        lost = server.ejected_until is not None or server.answered_from > attempt.sent_at
+        if waited >= request.kind.aim_us and not (lost or attempt.felt):
             # Late already, though no answer says so yet: waiting for one would see a surge too late.
             attempt.felt = True
             if self._cores is not None and silent:
                 self._cores += CORES_STEP * (1.0 - self._cores)  # no answer, no report: reports alone flatter
             self._feel(LOST_SPENT)
-        enough = max(SILENCE * self._patience(request, server), SILENT_AIMS * request.kind.aim_us)
-        if silent and waited < enough:
-            self._schedule(self._now + int(enough) - waited, request.ident, attempt.index)
-        elif silent and server.ejected_until is None and others >= QUIET_PEERS:
-            self._eject(server, "silent", SILENT_MOST)
         silent = silent and server.ejected_until is not None
         limits = self._settings.limits
         if not self._may_run_again(request) or len(request.attempts) >= limits.max_attempts:
@@ -1112,6 +1112,7 @@
         if outcome is Outcome.DELIVERED:
             server.strikes = server.unreached = 0
             server.last_answer_at = self._now
+            server.answered_from = max(server.answered_from, attempt.sent_at)
             self._answers += 1
             if not self._is_cold(server):
                 self._served_warm.add(self._now, request.cost)  # overload serves the light ones
@@ -1236,9 +1237,8 @@
                     self._actions.append(CloseIdle(server.name))
                 continue
             request = self._requests.get(what)
-            if what == _ASK:
-                if self._ask_due is not None and self._ask_due <= self._now:
-                    self._ask()
+            if what == _ASK and self._ask_due is not None and self._ask_due <= self._now:
+                self._ask()
             elif request is None or request.answered or any(each.started for each in request.attempts):
                 pass  # nothing is waited for any more
             elif index == _WHOLE:
