Call the sidecar ready only once its event loop keeps time

The platform pauses a sidecar for 0.16 to 0.22 s for the CPU that it spent on starting, just after it has called itself ready: all that its clients sent meanwhile was late, and refusals followed. It now calls itself ready when the event loop was on time for a quarter second, in two seconds at most.

Ruled out: slow new connections or a small first draw (nothing at all was sent between 0.18 and 0.36 s, also by the idle sidecar; strace shows SIGSTOP and SIGCONT).

--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -174,9 +174,12 @@
 
 @contextlib.asynccontextmanager
 async def world(
-    *scripts: Callable[[str, Head, bytes], bytes | None], sockets: int = 256, **changes: Any
+    *scripts: Callable[[str, Head, bytes], bytes | None],
+    sockets: int = 256,
+    settled: bool = True,
+    **changes: Any,
 ) -> AsyncIterator[World]:
-    """A world with one server for each script."""
+    """A world with one server for each script; its sidecar is called ready at once if `settled`."""
     servers = [FakeServer(f"s-{number}", script) for number, script in enumerate(scripts)]
     discovery = FakeDiscovery()
     for server in servers:
@@ -189,6 +192,8 @@
     )
     running = asyncio.create_task(made.sidecar.run(made.stop))
     await until(lambda: made.sidecar._balancer._begun)
+    if settled:
+        made.sidecar._settle()
     try:
         yield made
     finally:
--- a/tests/test_life.py
+++ b/tests/test_life.py
@@ -236,3 +236,31 @@
         second.stop()
 
     play(scene())
+
+
+def test_it_calls_itself_ready_only_once_its_event_loop_keeps_time(
+    monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
+    # Guards the first clients: a platform may hold a program back for the CPU that it spent on starting.
+    async def scene() -> None:
+        monkeypatch.setattr(sidecar, "_SETTLED_BY_S", 600.0)
+        monkeypatch.setattr(sidecar, "_LAG_EVERY_S", 0.01)
+        monkeypatch.setattr(sidecar, "_LAG_TOLD_S", -1.0)  # as if it were late whenever it looked
+        async with world(settled=False) as w:
+            await until(lambda: caplog.text.count("late") > 2)
+            assert (await w.ask(path="/health/ready"))[0] == 503
+            monkeypatch.setattr(sidecar, "_LAG_TOLD_S", 600.0)
+            await until(lambda: w.sidecar._is_ready())
+            assert (await w.ask(path="/health/ready"))[0] == 200
+
+    play(scene())
+
+
+def test_a_machine_that_always_lags_is_called_ready_all_the_same(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def scene() -> None:
+        monkeypatch.setattr(sidecar, "_SETTLED_BY_S", 0.05)
+        monkeypatch.setattr(sidecar, "_LAG_TOLD_S", -1.0)
+        async with world(settled=False) as w:
+            await until(lambda: w.sidecar._is_ready())
+
+    play(scene())
--- a/topazbank/net/sidecar.py
+++ b/topazbank/net/sidecar.py
@@ -57,6 +57,7 @@
 _DRAIN_STEP_S = 0.02  # how often a drain looks at what is left
 _LAG_EVERY_S = 0.25  # how often the event loop's lag is looked at
 _LAG_TOLD_S = 0.05  # and from when on it is logged
+_SETTLED_BY_S = 2.0  # ready by then in any case: a machine that always lags serves better late than never
 _PUSHED_AGAIN_S = 0.5  # before a failed call to the agent that holds pushed lists is made again
 _ABOUT_BODY = (b"content-type", b"content-encoding")  # of a server's headers, these go to the client
 _FDS_KEPT = 64  # descriptors left for discovery, logs and the runtime
@@ -114,6 +115,7 @@
         self._idents = itertools.count(1)
         self._events: deque[Event] = deque()
         self._handling = False
+        self._settled = False  # whether the event loop has kept time for a while
         half = max((config.sockets - _FDS_KEPT) // 2, 1)
         limits = settings.limits
         self._upstream = upstream.Upstream(limits.dial_timeout_us / 1e6, limits.idle_close_us / 1e6, half)
@@ -143,6 +145,7 @@
             self._discovery.follow(True)
         self.frontend.start()
         lag = asyncio.get_running_loop().create_task(self._watch_lag())
+        asyncio.get_running_loop().call_later(_SETTLED_BY_S, self._settle)
         await stop.wait()
         await self._drain()
         lag.cancel()
@@ -180,9 +183,19 @@
             late = loop.time() - due
             if late > _LAG_TOLD_S:
                 log.warning("the event loop was %.0f ms late", late * 1000)
+            else:
+                self._settle()
+
+    def _settle(self) -> None:
+        """Call itself ready from now on.
+
+        Guards against clients that come while the platform still holds this program back for the CPU that it
+        spent on starting: their requests would wait that out, and most be late.
+        """
+        self._settled = True
 
     def _is_ready(self) -> bool:
-        return not self.frontend.draining
+        return self._settled and not self.frontend.draining
 
     # -- Events in, actions out -----------------------------------------------------------------------
 
