Abort a connection whose client has closed before its last answer is ended

Ending our side of a connection that its client has just reset raised OSError through the answer into the driver. There it cut the end of an attempt short before the balancer was told of it, so that the attempt would have counted as in flight for good.

--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -353,6 +353,22 @@
     play(scene())
 
 
+def test_an_answer_to_a_client_that_has_just_closed_ends_its_connection_and_nothing_else() -> None:
+    async def scene() -> None:
+        async with world(lambda *_: None) as w:
+            client = socket.create_connection(w.sidecar.frontend.address)
+            client.sendall(request("pay", body=b"held", Connection="close"))
+            await until(w.sent)
+            (connection,) = w.sidecar.frontend.connections
+            call = connection._call
+            assert call is not None
+            client.close()
+            call.answer(200, [], b"done")  # before the event loop hears of the close
+            await until(lambda: not w.sidecar.frontend.connections)
+
+    play(scene())
+
+
 def test_clients_that_say_nothing_do_not_keep_others_out() -> None:
     async def scene() -> None:
         async with world(served, sockets=80) as w:
--- a/topazbank/net/frontend.py
+++ b/topazbank/net/frontend.py
@@ -365,7 +365,10 @@
         if self._transport is not None and not self._transport.is_closing():
             self._dropped = 0
             self._frontend.move(self, Phase.LEAVING)
-            self._transport.write_eof()
+            try:
+                self._transport.write_eof()
+            except OSError:
+                self.abort()  # its client had closed, and has reset the answer already
 
     def _drop(self, count: int) -> None:
         self._dropped = (self._dropped or 0) + count
