Open a silent watch anew at once, before its old call is left

Logged calls: every sidecar gave its watch up after 9.5 s, waited 0.3 to 0.5 s for the module to ask again, and discovery then answered six callers in turn, 0.29 s each: 10.3 to 11.8 s. The rule counted from the moment the old call was left (9.71 s), not from 2 s after its wait: with no call out, a sidecar is held to what it could have asked.

Ruled out: a list lost or misread (the answer at 10.3 s was applied at once), the module sending on after it heard (no send after an answer), connections that were still dialling (the endpoint is withdrawn).

Wrong lines: Discovery._keep_watch returned on silence and left the next call to others; _call closed its connection before another was out; _LATE_S of 1.5 s spent nearly all of the 2 s. Now the watch goes on by itself, 0.5 s after its wait, and the silent connection is closed once the next call is written.

The test saw 'left 1' before 'call 2' without the mend.

--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -126,7 +126,8 @@
 
     def __init__(self) -> None:
         self.targets: list[str] = []
-        self.answers: asyncio.Queue[bytes] = asyncio.Queue()
+        self.answers: asyncio.Queue[bytes | None] = asyncio.Queue()  # None: that call stays unanswered
+        self.happened: list[str] = []  # each call, and each connection that the caller left unanswered
         self.called_after_s: list[float] = []  # from each answer to the next call
         self._answered_at: float | None = None
 
@@ -137,7 +138,14 @@
             if self._answered_at is not None:
                 self.called_after_s.append(loop.time() - self._answered_at)
             self.targets.append(first.split(" ")[1])
-            writer.write(await self.answers.get())
+            self.happened.append(f"call {len(self.targets)}")
+            number = len(self.targets)
+            reply = await self.answers.get()
+            if reply is None:
+                await reader.read()
+                self.happened.append(f"left {number}")
+                return
+            writer.write(reply)
             await writer.drain()
             self._answered_at = loop.time()
         writer.close()
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -125,6 +125,30 @@
     play(scene())
 
 
+def test_a_watch_that_fell_silent_is_opened_anew_before_the_old_call_is_left(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Guards rule 3: with no call out for a moment, or a pause before the next one, a sidecar counts as told
+    # of drains that it has not heard of.  The module asks again too late here.
+    monkeypatch.setattr("topazbank.net.discovery._WAIT_MS", 20)
+    monkeypatch.setattr("topazbank.net.discovery._LATE_S", 0.02)
+
+    async def scene() -> None:
+        async with world(served, rules={"ask_within_us": 600 * S}) as w:
+            server = w.sidecar._balancer._servers["s-0"]
+
+            def is_told() -> bool:
+                w.discovery.say(42, [w.servers[0].entry(status="leaving")])  # to whichever call is out
+                return server.state is ServerState.DRAINING
+
+            w.discovery.answers.put_nowait(None)
+            await until(lambda: "left 1" in w.discovery.happened)
+            await until(is_told)
+            assert w.discovery.happened[:2] == ["call 1", "call 2"]
+
+    play(scene())
+
+
 def test_pushed_lists_are_read_without_being_asked_for() -> None:
     async def scene() -> None:
         async with world(served, discovery="pushed") as w:
--- a/topazbank/net/discovery.py
+++ b/topazbank/net/discovery.py
@@ -17,7 +17,7 @@
 
 _PATH = "/registry/instances"
 _WAIT_MS = 8_000  # how long a watch may wait: a service that fell silent is noticed after it
-_LATE_S = 1.5  # and what it may take beyond that: its news counts as told 2 s after the wait
+_LATE_S = 0.5  # and what it may take beyond that: its news counts as told 2 s after the wait
 _CALL_S = 5.0  # what a call that does not wait may take
 _IDLE_S = 0.1  # between watches that come back at once with nothing, well within the 200 ms of one watch
 _LIST_MOST = 8 * 1024 * 1024
@@ -93,6 +93,7 @@
         self._stopped = False
         self._watch: asyncio.Task[None] | None = None
         self._fetches: set[asyncio.Task[bool]] = set()  # as many as the balancer asks for, each for _CALL_S
+        self._unanswered: Connection | None = None  # of a call given up on, until the next one is out
 
     def follow(self, wanted: bool) -> None:
         """Begin a watch or end it; one that is under way goes on."""
@@ -123,33 +124,45 @@
         if self._watch is not None:
             self._watch.cancel()
             self._watch = None
+        self._hang_up()
+
+    def _hang_up(self) -> None:
+        former, self._unanswered = self._unanswered, None
+        if former is not None:
+            former.abort()
 
     async def _keep_watch(self) -> None:
-        """Call again as soon as a call is answered: later than 200 ms it would be a new watch."""
+        """Call again as soon as a call is answered: later than 200 ms it would be a new watch.
+
+        A watch that fell silent is opened anew as soon: what it missed counts as told soon after its wait,
+        and a service with many such callers answers them in turn.
+        """
         loop = asyncio.get_running_loop()
         while True:
             began, version = loop.time(), self._version
             if version is None:
-                heard = await self._ask(_PATH, _CALL_S)
+                goes_on = await self._ask(_PATH, _CALL_S)
             else:
-                heard = await self._ask(
+                goes_on = await self._ask(
                     f"{_PATH}?after={version}&wait_ms={_WAIT_MS}", _WAIT_MS / 1000 + _LATE_S
                 )
-            if not heard:
+            if not goes_on:
                 return
             if self._version == version and loop.time() < began + _IDLE_S:
                 await asyncio.sleep(_IDLE_S)  # guards against spinning on a service that does not wait
 
     async def _ask(self, target: str, limit_s: float) -> bool:
+        """Make a call and tell what came of it; say whether the next may be made at once."""
         told: Told | None = None
+        limit = asyncio.timeout(limit_s)
         try:
-            async with asyncio.timeout(limit_s):
-                told = self._read(await self._call(target))
+            async with limit:
+                told = self._read(await self._call(target, limit))
                 self._version = told.version
         except (OSError, ValueError, TimeoutError) as fault:
             log.warning("discovery: %s", fault or type(fault).__name__)
         self._told(told)
-        return told is not None
+        return told is not None or limit.expired()
 
     @staticmethod
     def _read(response: Response | None) -> Told:
@@ -159,12 +172,17 @@
             raise ConnectionRefusedError(f"status {response.status}")
         return parse_list(json.loads(response.body))
 
-    async def _call(self, target: str) -> Response | None:
+    async def _call(self, target: str, limit: asyncio.Timeout) -> Response | None:
         connection = await connect(self._address, _LIST_MOST)
         try:
             return await self._exchange(connection, target)
         finally:
-            connection.abort()
+            if limit.expired():
+                # Who has no call out counts as told of all that is older than it may go without asking.
+                self._hang_up()
+                self._unanswered = connection
+            else:
+                connection.abort()
 
     async def _exchange(self, connection: Connection, target: str) -> Response | None:
         answer: asyncio.Future[Response | None] = asyncio.get_running_loop().create_future()
@@ -176,4 +194,5 @@
                 answer.set_result(response)
 
         connection.request(call, ended)
+        self._hang_up()
         return await answer
