Send nothing on for a client that has left, as its request is written

Forced over loopback with the client's end in the sidecar's kernel and unread: sent on all the same as its connection came up, as it was drawn anew, and as it came to its turn in the order of its key.

Ruled out: the accept queue and the receive buffer (Frontend._accept and data_received look for the end, and the new test of both passes without the mend); RequestGone in the module, which answers and cancels at once.

Wrong lines: Sidecar._send and Upstream._write went by what the event loop had read. After a lag of the loop that is old: timers and dials come before the sockets that it has not looked at. Now the request is made only if its client is still there; else the request is over and its connection is kept for another.

Each of the three tests failed without the mend. Exchange.dial is forgotten once it is over, or an attempt that ends as it is written would count its connection as closed twice.

--- /dev/null
+++ b/tests/test_crossings.py
@@ -0,0 +1,156 @@
+"""Two events that cross, forced in the order that does harm.
+
+None is left to chance: an end of a connection is awaited in the kernel with the event loop standing still,
+and what the loop would have read first is handed on by hand.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import time
+
+import pytest
+from loopback import CLASSES, PATIENCE_S, World, answer, play, request, until, world
+
+from topazbank.net import upstream
+from topazbank.net.upstream import Address, Connection
+
+_FIN_WAIT2 = 5  # as TCP_INFO tells it: the other side's kernel has the end
+
+
+def served(*_: object) -> bytes:
+    return answer(200, b"served")
+
+
+def hung(*_: object) -> None:
+    return None
+
+
+def full(*_: object) -> bytes:
+    return answer(503, b"", X_Rejected="1")
+
+
+class Client:
+    """A client whose end is in the sidecar's kernel once it has left, though its event loop had no turn."""
+
+    def __init__(self, address: Address, data: bytes) -> None:
+        self._sock = socket.create_connection(address)
+        self.send(data)
+
+    def send(self, data: bytes) -> None:
+        self._sock.sendall(data)
+
+    def leave(self) -> None:
+        self._sock.shutdown(socket.SHUT_WR)
+        deadline = time.monotonic() + PATIENCE_S
+        while self._sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] != _FIN_WAIT2:
+            assert time.monotonic() < deadline
+
+    def close(self) -> None:
+        self._sock.close()
+
+
+def connection_of(w: World, ident: str) -> Connection:
+    """The connection that a request's attempt is out on."""
+    (live,) = [each for each in w.sidecar._live.values() if each.call.ident == ident]
+    (exchange,) = live.out.values()
+    assert exchange is not None and exchange.connection is not None
+    return exchange.connection
+
+
+async def rested_everywhere(w: World) -> None:
+    """Let each server have a connection that carries nothing: what is sent next is written at once."""
+    w.sidecar._upstream._rest_s = 0.0
+    while not all(each.writers for each in w.servers):
+        assert (await w.ask())[0] == 200
+
+
+# -- A client leaves x its request, which waited, is sent on
+
+
+def test_a_client_leaves_while_it_waits_to_be_accepted_or_read() -> None:
+    async def scene() -> None:
+        async with world(served) as w:
+            address = w.sidecar.frontend.address
+            unread = Client(address, b"")
+            await until(lambda: w.sidecar.frontend.connections)
+            w.sidecar.frontend._pause()
+            queued = Client(address, request(X_Call_Id="queued"))
+            unread.send(request(X_Call_Id="unread"))
+            for each in (queued, unread):
+                each.leave()
+            w.sidecar.frontend._accept_again()
+            assert (await w.ask(X_Call_Id="next"))[0] == 200  # it was queued behind them
+            await until(lambda: not w.sidecar._live)
+            assert [head["x-call-id"] for _, head, _ in w.sent()] == ["next"]
+            for each in (queued, unread):
+                each.close()
+
+    play(scene())
+
+
+def test_a_client_leaves_as_the_connection_for_its_request_comes_up(monkeypatch: pytest.MonkeyPatch) -> None:
+    dialled, go_on = asyncio.Event(), asyncio.Event()
+    connect = upstream.connect
+
+    async def held_up(*given: object) -> Connection:
+        connection = await connect(*given)  # type: ignore[arg-type]
+        dialled.set()
+        await go_on.wait()
+        return connection
+
+    async def scene() -> None:
+        async with world(served) as w:
+            monkeypatch.setattr(upstream, "connect", held_up)
+            client = Client(w.sidecar.frontend.address, request("pay", body=b"x"))
+            await dialled.wait()
+            client.leave()
+            go_on.set()  # the dial is next in the loop, ahead of what the client's socket holds
+            await until(lambda: not w.sidecar._live)
+            assert (await w.ask(kind="pay", body=b"next", X_Call_Id="next"))[0] == 200
+            assert [body for _, _, body in w.sent()] == [b"next"]
+            # The connection was kept for others, and is counted once.
+            assert w.sidecar._upstream._open == len(w.sidecar._upstream._endpoints["s-0"].idle)
+            client.close()
+
+    play(scene())
+
+
+def test_a_client_leaves_as_its_request_is_drawn_anew() -> None:
+    async def scene() -> None:
+        async with world(served, served) as w:
+            await rested_everywhere(w)
+            for each in w.servers:
+                each.script = hung
+            before = len(w.sent())
+            client = Client(w.sidecar.frontend.address, request())
+            await until(lambda: len(w.sent()) == before + 1)
+            client.leave()
+            connection_of(w, "9b1f03aa5c7e2d41").data_received(full())  # read before the client's end
+            await until(lambda: not w.sidecar._live)
+            assert (await w.ask(path="/health/ready"))[0] == 200  # the loop has had its turns
+            assert len(w.sent()) == before + 1
+            client.close()
+
+    play(scene())
+
+
+def test_a_client_leaves_as_its_request_comes_to_its_turn() -> None:
+    classes = [each | {"by_arrival": True} for each in CLASSES]
+
+    async def scene() -> None:
+        async with world(hung, classes=classes) as w:
+            w.sidecar._upstream._rest_s = 0.0  # what is free is used at once
+            first = Client(w.sidecar.frontend.address, request(X_Call_Id="first"))
+            await until(w.sent)
+            second = Client(w.sidecar.frontend.address, request(X_Call_Id="second"))
+            await until(lambda: len(w.sidecar._live) == 2)
+            second.leave()
+            connection_of(w, "first").data_received(served())
+            await until(lambda: not w.sidecar._live)
+            assert [head["x-call-id"] for _, head, _ in w.sent()] == ["first"]
+            first.close()
+            second.close()
+
+    play(scene())
--- a/topazbank/net/frontend.py
+++ b/topazbank/net/frontend.py
@@ -76,6 +76,7 @@
     cost_us: int | None
     again: bool
     answer: Callable[[int, Headers, bytes], None]
+    has_left: Callable[[], bool]  # whether its client has closed, maybe not heard of yet
 
 
 @dataclass(slots=True)
@@ -102,7 +103,11 @@
 
 
 def parse_call(
-    head: h11.Request, body: bytes, settings: Settings, answer: Callable[[int, Headers, bytes], None]
+    head: h11.Request,
+    body: bytes,
+    settings: Settings,
+    answer: Callable[[int, Headers, bytes], None],
+    has_left: Callable[[], bool],
 ) -> Call:
     """Read a request of the application; raise BadRequest where it makes no sense or breaks the settings."""
     given: dict[bytes, str] = {}
@@ -128,6 +133,7 @@
         cost_us=int(_number(given[b"x-call-cost"], "x-call-cost")) if given.get(b"x-call-cost") else None,
         again=given.get(b"x-again") == "1",
         answer=answer,
+        has_left=has_left,
     )
     _check_class(call, bool(given.get(b"idempotency-key")), settings)
     _check_tenant(call, settings)
@@ -229,6 +235,10 @@
         if self._call is None and self._dropped is None:
             self._next_request()
 
+    def _has_left(self) -> bool:
+        """Whether nobody waits for an answer here, though the end of the connection may be unread."""
+        return self._transport is None or self._transport.is_closing() or has_ended(self._sock)
+
     def is_quiet(self) -> bool:
         """Whether nothing has come that is not read yet."""
         return is_quiet(self._sock)
@@ -322,7 +332,7 @@
         elif path != _API_PATH and not path.startswith(_API_PATH + b"/"):
             raise BadRequest(404, "no such path")
         else:
-            call = parse_call(head, body, self._frontend.settings, self._answer)
+            call = parse_call(head, body, self._frontend.settings, self._answer, self._has_left)
             if self._frontend.hooks.is_out(call.ident):
                 raise BadRequest(409, "x-call-id is that of another request, which is still out")
             self._call = call
--- a/topazbank/net/sidecar.py
+++ b/topazbank/net/sidecar.py
@@ -308,7 +308,7 @@
         live.out[index] = None
         until = self._clock.on_loop(min(action.until or live.answer_by, live.answer_by))
         ended = partial(self._attempt_ended, live, index, action.server, self._clock.now())
-        order = partial(_request, live.call)
+        order = partial(self._order, live)
         try:
             exchange = self._upstream.send(action.server, order, until, ended)
         except Exception:
@@ -317,6 +317,16 @@
         if index in live.out:
             live.out[index] = exchange
 
+    def _order(self, live: Live, left_s: float) -> bytes | None:
+        """What an attempt sends; nothing where the client has left while its request waited.
+
+        Guards servers against work for nobody: a close that nobody has read of yet is news all the same.
+        """
+        if live.call.has_left():
+            self._gone(live.call)
+            return None
+        return _request(live.call, left_s)
+
     def _attempt_ended(
         self, live: Live, index: int, server: str, sent_at: int, outcome: Outcome, response: Response | None
     ) -> None:
--- a/topazbank/net/upstream.py
+++ b/topazbank/net/upstream.py
@@ -384,7 +384,8 @@
         return max(math.frexp(age_s)[1], _AGE_LEAST)
 
 
-Order = Callable[[float], bytes]  # makes a request when it is written, since it tells the time left
+# Makes a request when it is written, since it tells the time left; None: nobody waits for it any more.
+Order = Callable[[float], bytes | None]
 Ended = Callable[[Outcome, Response | None], None]
 
 
@@ -610,11 +611,16 @@
         self._open -= 1
 
     def _write(self, exchange: Exchange, connection: Connection) -> None:
-        exchange.connection = connection
+        exchange.dial = None  # it is over
         exchange.endpoint.dialling.discard(exchange)
-        exchange.written_at = asyncio.get_running_loop().time()
-        left = exchange.until - exchange.written_at
-        connection.request(exchange.order(max(left, 0.0)), partial(self._answered, exchange, connection))
+        now = asyncio.get_running_loop().time()
+        data = exchange.order(max(exchange.until - now, 0.0))
+        if data is None:
+            self._put_back(exchange, connection)
+            exchange.end(Outcome.UNSENT)
+            return
+        exchange.connection, exchange.written_at = connection, now
+        connection.request(data, partial(self._answered, exchange, connection))
 
     def _answered(self, exchange: Exchange, connection: Connection, response: Response | None) -> None:
         self._put_back(exchange, connection)
