Read on behind a held request, so that its client's end is heard

Seen: read line by line: beyond 64 KiB sent ahead of a held request its connection was paused. Its client's end lies behind those bytes, or is still in the client's kernel: it is never heard of, neither by the loop nor by looking at the socket. Over loopback the attempt stayed out until its time was up.

Ruled out: less than that sent ahead (the end is read in its turn), a client that sends half a request ahead (ended after 2 s), junk ahead (ended at once).

Wrong lines: the pause_reading in ClientConnection._look_ahead and data_received. What comes further ahead is now dropped, as after a rejection, and the connection ends with the answer that is due; who sends without end is ended. The three new tests failed without the mend.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -11,7 +11,7 @@
 import time
 
 import pytest
-from loopback import CLASSES, PATIENCE_S, World, answer, play, request, until, world
+from loopback import CLASSES, PATIENCE_S, World, answer, is_closed, play, read_answer, request, until, world
 
 from topazbank.net import upstream
 from topazbank.net.upstream import Address, Connection
@@ -154,3 +154,53 @@
             second.close()
 
     play(scene())
+
+
+async def flood(w: World, held: bytes) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """Send a request that is held at its server, and then more than is kept."""
+    reader, writer = await asyncio.open_connection(*w.sidecar.frontend.address)
+    writer.write(held)
+    await until(w.sent)
+    ahead = request("pay", body=bytes(60_000), X_Call_Id="ahead")
+    writer.write(ahead * 50)  # more than the kernel holds
+    return reader, writer
+
+
+def test_a_client_that_has_sent_far_ahead_leaves_while_its_request_is_held() -> None:
+    async def scene() -> None:
+        async with world(hung) as w:
+            _, writer = await flood(w, request("pay", body=b"held", budget="500"))
+            writer.close()  # its end comes behind all that
+            await until(lambda: w.servers[0].closed == 1)
+            assert not w.sidecar._live and len(w.sent()) == 1
+
+    play(scene())
+
+
+def test_a_client_that_has_sent_far_ahead_gets_its_answer_and_an_end() -> None:
+    async def scene() -> None:
+        async with world(hung) as w:
+            reader, writer = await flood(w, request("pay", body=b"held", budget="500"))
+            (connection,) = w.sidecar.frontend.connections
+            await until(lambda: connection._dropped)
+            w.servers[0].writers[0].write(served())
+            status, headers, body = await read_answer(reader)
+            assert (status, headers["connection"], body) == (200, "close", b"served")
+            assert await is_closed(reader)
+            assert len(w.sent()) == 1
+            writer.close()
+
+    play(scene())
+
+
+def test_a_client_that_never_ends_behind_a_held_request_is_ended(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("topazbank.net.frontend._DROPPED_MOST", 1024 * 1024)
+
+    async def scene() -> None:
+        async with world(hung) as w:
+            reader, writer = await flood(w, request("pay", body=b"held", budget="500"))
+            assert await is_closed(reader)
+            await until(lambda: w.servers[0].closed == 1)
+            writer.close()
+
+    play(scene())
--- a/topazbank/net/frontend.py
+++ b/topazbank/net/frontend.py
@@ -33,7 +33,7 @@
 _BUSY_MORE = 1.1  # and at each other one this many times as many
 _DROPPED_MOST = (
     128 * BODY_MOST
-)  # read and dropped of what comes after a rejection, so that its answer arrives
+)  # read and dropped of what comes after a rejection or far ahead, so that answers arrive
 _IDENT_MOST = 256  # characters
 _OVER_DEADLINE = 1.1  # a budget may exceed its class's deadline by rounding, no more
 _REASONS = {200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed"}
@@ -224,8 +224,8 @@
             self._look_ahead()
         elif not self._stuck:
             self._read()
-        elif len(self._h11.trailing_data[0]) > BODY_MOST and self._transport is not None:
-            self._transport.pause_reading()
+        else:
+            self._bound_ahead()
 
     def pause_writing(self) -> None:
         self._stuck = True
@@ -234,6 +234,8 @@
         self._stuck = False
         if self._call is None and self._dropped is None:
             self._next_request()
+        elif self._call is None:
+            self._linger()
 
     def _has_left(self) -> bool:
         """Whether nobody waits for an answer here, though the end of the connection may be unread."""
@@ -277,8 +279,15 @@
             self.abort()
             return
         self._frontend.move(self, Phase.OPEN if whole else Phase.BEHIND)
-        if len(behind) > BODY_MOST and self._transport is not None:
-            self._transport.pause_reading()  # it sends ahead; what is held is bounded
+        self._bound_ahead()
+
+    def _bound_ahead(self) -> None:
+        """Drop what is sent ahead beyond a bound; its connection ends with the answer that is due.
+
+        It is read all the same: behind bytes that wait unread, the client's end would not be heard of.
+        """
+        if len(self._h11.trailing_data[0]) > BODY_MOST:
+            self._dropped = 0
 
     def _read(self) -> None:
         """Take what has come, up to the end of one request."""
@@ -351,6 +360,7 @@
         if self._transport is None or self._transport.is_closing():
             return
         ends = ends or self._frontend.draining or self._h11.their_state is not h11.DONE
+        ends = ends or self._dropped is not None
         headers = [*headers, (b"Content-Length", str(len(body)).encode())]
         if ends:
             headers.append((b"Connection", b"close"))
@@ -367,7 +377,7 @@
         if behind:
             self._h11.receive_data(behind)
         self._frontend.move(self, Phase.LEAVING if self._stuck else Phase.RESTING)
-        if not self._stuck and (behind or not self._transport.is_reading()):
+        if not self._stuck and behind:
             asyncio.get_running_loop().call_soon(self._next_request)
 
     def _linger(self) -> None:
@@ -382,7 +392,9 @@
 
     def _drop(self, count: int) -> None:
         self._dropped = (self._dropped or 0) + count
-        if self._dropped > _DROPPED_MOST and self._transport is not None:
+        if self._dropped > _DROPPED_MOST and self._call is not None:
+            self.abort()  # there is no end to it, and its client's end could not be heard of
+        elif self._dropped > _DROPPED_MOST and self._transport is not None:
             self._transport.pause_reading()
 
     def _next_request(self) -> None:
@@ -390,7 +402,6 @@
         if self._transport is None or self._transport.is_closing() or self._call is not None or self._stuck:
             return
         self._frontend.move(self, Phase.RESTING)
-        self._transport.resume_reading()
         self._read()
 
     def _client_gone(self) -> None:
