Let connections rest also where there is no room for another

Seen: read line by line: where all connections were taken, the next request was written to one that had just answered.

Ruled out: a second answer together with the first (it costs the connection), one that comes before the next request is written (the look at the socket finds it), one more than a rest late (not told apart by anyone).

Wrong lines: the second _take_idle in Upstream.send, with no rest. What finds no room now takes the place of an idle connection, as for another server: a handshake more. The old test asked for the reuse and is replaced by one that asks for the bound and for the rest; it and the crossing failed without the mend.

--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -231,14 +231,16 @@
     play(scene())
 
 
-def test_a_connection_rests_before_it_is_used_again_unless_there_is_no_room_for_another() -> None:
-    # Guards against an end or a second copy that is under way behind the answer.
+def test_a_connection_rests_before_it_is_used_again_even_where_there_is_no_room_for_another() -> None:
+    # Guards against an end or a second copy that is under way behind the answer: it would pass for the answer
+    # to the next request.  What has no room takes the place of a connection instead.
     async def scene() -> None:
         limits = LIMITS | {"dial_timeout_us": 600 * S}
         async with world(served, sockets=72, limits=limits) as w:
             for _ in range(9):
                 assert (await w.ask())[0] == 200
-            assert len(w.servers[0].writers) == 4  # all that the descriptors allow
+                assert w.sidecar._upstream._open <= 4  # all that the descriptors allow
+            assert len(w.servers[0].writers) == 9
 
     play(scene())
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -204,3 +204,25 @@
             writer.close()
 
     play(scene())
+
+
+# -- A second answer to one request x the next request on its connection
+
+
+def test_a_second_answer_crosses_the_next_request_where_connections_are_scarce() -> None:
+    async def scene() -> None:
+        async with world(hung, sockets=66) as w:  # room for one connection to servers
+            w.sidecar._upstream._rest_s = 600.0
+            (server,) = w.servers
+
+            def answered_twice(first: str, *_: object) -> bytes:
+                if len(server.writers) == 1 and len(server.requests) == 2:
+                    server.writers[0].write(answer(200, b"again to the first"))
+                return answer(200, first.encode())
+
+            server.script = answered_twice
+            for number in range(3):
+                status, _, body = await w.ask(path=f"/api/{number}", X_Call_Id=f"{number}")
+                assert (status, body) == (200, f"GET /api/{number} HTTP/1.1".encode())
+
+    play(scene())
--- a/topazbank/net/upstream.py
+++ b/topazbank/net/upstream.py
@@ -497,9 +497,7 @@
             exchange.end(Outcome.UNSENT)
             return exchange
         exchange.timers.append(loop.call_at(until, self._time_up, exchange))
-        connection = self._take_idle(exchange, self._rest_s)
-        if connection is None and self._open >= self._most:
-            connection = self._take_idle(exchange, 0.0)  # no room for another
+        connection = self._take_idle(exchange)
         if connection is not None:
             self._write(exchange, connection)
         elif self._make_room():
@@ -549,7 +547,7 @@
         if exchange.connection is None and not is_up(sock):
             exchange.end(Outcome.DIAL_FAILED)
 
-    def _take_idle(self, exchange: Exchange, rest_s: float) -> Connection | None:
+    def _take_idle(self, exchange: Exchange) -> Connection | None:
         """The last used of those that have rested, unless it has been idle for longer than such ones last.
 
         What a server does to a connection after its answer, an end or more bytes, is under way for as long as
@@ -560,7 +558,7 @@
         for index in reversed(range(len(idle))):
             connection, timer = idle[index]
             idle_s = now + self._idle_s - timer.when()
-            if idle_s < rest_s:
+            if idle_s < self._rest_s:
                 continue
             del idle[index]
             timer.cancel()
