Pass over a list that another call has overtaken

Seen: a lead, read line by line and forced over loopback: a whole list that was fetched before a watch told of more, and came after it, made a draining server ready again and set the version back.

Ruled out: calls at a former address (a move cancels them), one watch with itself (its calls follow each other).

Wrong lines: Discovery._ask took any answer's version and passed it on. An answer older than what was heard since its call was made is passed over now. The test saw the server ready again without the mend.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -13,6 +13,7 @@
 import pytest
 from loopback import CLASSES, PATIENCE_S, World, answer, is_closed, play, read_answer, request, until, world
 
+from topazbank.interface import ServerState
 from topazbank.net import upstream
 from topazbank.net.upstream import Address, Connection
 
@@ -226,3 +227,28 @@
                 assert (status, body) == (200, f"GET /api/{number} HTTP/1.1".encode())
 
     play(scene())
+
+
+# -- A whole list is fetched x a watch tells of more
+
+
+def test_a_slow_whole_list_lands_after_the_news_of_a_watch() -> None:
+    async def scene() -> None:
+        async with world(served) as w:
+            await until(lambda: w.discovery.called(1))
+            w.sidecar._discovery.fetch()
+            await until(lambda: w.discovery.called(2))
+            (server,) = w.servers
+            state = w.sidecar._balancer._servers["s-0"]
+            w.discovery.say(43, [server.entry(status="leaving")])  # to the watch
+            await until(lambda: state.state is ServerState.DRAINING)
+            await until(lambda: w.discovery.called(3))  # it goes on
+            w.discovery.say(42, [server.entry()], snapshot=True)  # to the fetch, which was called before it
+            await until(lambda: not w.sidecar._discovery._fetches)
+            assert state.state is ServerState.DRAINING
+            w.discovery.say(44, [])
+            await until(lambda: w.discovery.called(4))
+            watched = [each.split("&")[0] for each in w.discovery.targets if "after" in each]
+            assert watched == [f"/registry/instances?after={index}" for index in (41, 43, 44)]
+
+    play(scene())
--- a/topazbank/net/discovery.py
+++ b/topazbank/net/discovery.py
@@ -154,10 +154,12 @@
     async def _ask(self, target: str, limit_s: float) -> bool:
         """Make a call and tell what came of it; say whether the next may be made at once."""
         told: Told | None = None
-        limit = asyncio.timeout(limit_s)
+        limit, version = asyncio.timeout(limit_s), self._version
         try:
             async with limit:
                 told = self._read(await self._call(target, limit))
+                if self._version not in (None, version) and told.version < self._version:
+                    return True  # another call has told of more meanwhile: this would undo it
                 self._version = told.version
         except (OSError, ValueError, TimeoutError) as fault:
             log.warning("discovery: %s", fault or type(fault).__name__)
