Answer new connections while the CPU falls behind, in place of closing them

Wrong lines: Frontend._accept closed what _is_swamped said. Such a connection is taken now, and its first request refused unseen with 503 and, where settings allow, Retry-After.

--- a/topazbank/net/frontend.py
+++ b/topazbank/net/frontend.py
@@ -102,6 +102,11 @@
 _LIMITS_S = {Phase.WAITING: 2.0, Phase.BEHIND: 2.0, Phase.RESTING: 2.0, Phase.LEAVING: 1.0}
 
 
+def retry_after(wait_us: int) -> Headers:
+    """What tells a refused client when to come back; 0: nothing does."""
+    return [(b"Retry-After", b"%.3f" % (wait_us / 1e6))] if wait_us else []
+
+
 def parse_call(
     head: h11.Request,
     body: bytes,
@@ -183,9 +188,10 @@
 class ClientConnection(Reader):
     """One connection of the application; it carries one request at a time."""
 
-    def __init__(self, frontend: Frontend, sock: socket.socket) -> None:
+    def __init__(self, frontend: Frontend, sock: socket.socket, turned_away: bool = False) -> None:
         self._frontend = frontend
         self._sock = sock
+        self._turned_away = turned_away  # its first request is refused unseen
         self._h11 = h11.Connection(h11.SERVER)
         self._transport: asyncio.Transport | None = None
         self._head: h11.Request | None = None
@@ -340,6 +346,10 @@
             self._answer(200 if self._frontend.hooks.ready() else 503, [], b"")
         elif path != _API_PATH and not path.startswith(_API_PATH + b"/"):
             raise BadRequest(404, "no such path")
+        elif self._turned_away:
+            limits = self._frontend.settings.limits
+            wait_us = limits.max_retry_after_us if limits.retry_after else 0
+            self._answer(503, retry_after(wait_us), b"", ends=True)
         else:
             call = parse_call(head, body, self._frontend.settings, self._answer, self._has_left)
             if self._frontend.hooks.is_out(call.ident):
@@ -463,19 +473,19 @@
                 self._pause()
                 asyncio.get_running_loop().call_later(_ACCEPT_PAUSE_S, self._accept_again)
                 return
-            if has_ended(sock) or self._is_swamped():  # ended: it waited for longer than its client did
+            if has_ended(sock):  # it waited for longer than its client did
                 sock.close()
                 continue
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            task = asyncio.get_running_loop().create_task(self._begin(sock))
+            task = asyncio.get_running_loop().create_task(self._begin(sock, self._is_swamped()))
             self._starting.add(task)
             task.add_done_callback(self._starting.discard)
 
-    async def _begin(self, sock: socket.socket) -> None:
+    async def _begin(self, sock: socket.socket, turned_away: bool) -> None:
         with contextlib.suppress(OSError):
             loop = asyncio.get_running_loop()
-            await loop.connect_accepted_socket(lambda: ClientConnection(self, sock), sock)
+            await loop.connect_accepted_socket(lambda: ClientConnection(self, sock, turned_away), sock)
 
     def _count(self) -> int:
         return sum(map(len, self._phases.values())) + len(self._starting)
@@ -526,9 +536,9 @@
     def _is_swamped(self) -> bool:
         """Whether the CPU falls behind with the connections that carry requests.
 
-        Guards against answers that all come late: those served are served in time, and new connections end at
-        once, for a twentieth of what refusing a request costs.  Harm: a short pause of the machine under many
-        connections ends some too.
+        Guards against answers that all come late: those served are served in time, and what comes on new
+        connections is refused unseen, for a part of what a decision costs.  Closed with no answer, more than
+        a few would be lost.  Harm: a short pause of the machine under many connections refuses some too.
         """
         at_rest = len(self._phases[Phase.RESTING]) + len(self._phases[Phase.LEAVING])
         return self._count() - at_rest >= self._most_busy
--- a/topazbank/net/sidecar.py
+++ b/topazbank/net/sidecar.py
@@ -46,7 +46,7 @@
 from topazbank.interface import Discovery as DiscoveryMode
 from topazbank.net import upstream
 from topazbank.net.discovery import Discovery, Told
-from topazbank.net.frontend import Call, Frontend, Hooks
+from topazbank.net.frontend import Call, Frontend, Hooks, retry_after
 from topazbank.net.upstream import Address, Exchange, Headers, Response
 
 log = logging.getLogger(__name__)
@@ -284,10 +284,7 @@
     def _refuse(self, action: Refuse) -> None:
         live = self._live.get(action.request)
         if live is not None:
-            wait = (
-                [(b"Retry-After", b"%.3f" % (action.retry_after_us / 1e6))] if action.retry_after_us else []
-            )
-            self._answer(live, 503, wait, b"")
+            self._answer(live, 503, retry_after(action.retry_after_us), b"")
 
     def _fail(self, action: Fail) -> None:
         live = self._live.get(action.request)
