Do not make room with a connection whose answer is still being written

Seen: read line by line, and forced over loopback with one place: a new connection ended the one whose client was still reading, 5,078 bytes into an answer of 60,000. That loses the request: the sidecar ended it by itself.

Ruled out: connections at rest or new (they hold no answer), those told their last whose answer the kernel has (closing them sends it on).

Wrong lines: Frontend._make_room took the longest of those that are leaving, also while the transport held a part of the answer. Those are passed over; their own limit of a second ends them. The test failed without the mend.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -15,6 +15,7 @@
 
 from topazbank.interface import ServerState
 from topazbank.net import upstream
+from topazbank.net.frontend import _LIMITS_S, Phase
 from topazbank.net.upstream import Address, Connection
 
 _FIN_WAIT2 = 5  # as TCP_INFO tells it: the other side's kernel has the end
@@ -252,3 +253,36 @@
             assert watched == [f"/registry/instances?after={index}" for index in (41, 43, 44)]
 
     play(scene())
+
+
+# -- A new connection x an answer that is still being written, where connections are scarce
+
+
+def test_a_new_connection_comes_while_an_answer_is_still_being_written(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setitem(_LIMITS_S, Phase.LEAVING, 600.0)
+
+    async def scene() -> None:
+        async with world(hung, sockets=66) as w:  # room for one client
+            slow = socket.socket()
+            slow.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
+            slow.setblocking(False)
+            await asyncio.get_running_loop().sock_connect(slow, w.sidecar.frontend.address)
+            slow.send(request(budget="500"))
+            await until(w.sent)
+            (connection,) = w.sidecar.frontend.connections
+            connection._sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+            w.servers[0].script = served
+            w.servers[0].writers[0].write(answer(200, bytes(60_000)))
+            await until(lambda: connection._stuck and w.sidecar.frontend._accepting)
+            reader, writer = await asyncio.open_connection(*w.sidecar.frontend.address)
+            writer.write(request(X_Call_Id="new"))
+            await until(lambda: not w.sidecar.frontend._accepting)  # it came, and there was no room
+            slow_reader, slow_writer = await asyncio.open_connection(sock=slow)
+            assert (await read_answer(slow_reader))[2] == bytes(60_000)
+            assert (await read_answer(reader))[2] == b"served"
+            for each in (slow_writer, writer):
+                each.close()
+
+    play(scene())
--- a/topazbank/net/frontend.py
+++ b/topazbank/net/frontend.py
@@ -251,6 +251,10 @@
         """Whether nothing has come that is not read yet."""
         return is_quiet(self._sock)
 
+    def is_stuck(self) -> bool:
+        """Whether a part of its last answer is still to be written: closed now, it would be cut short."""
+        return self._stuck
+
     def is_idle(self) -> bool:
         """Whether it may be closed: no request is held, begun or waiting unread."""
         begun = self._head is not None or self._h11.trailing_data[0]
@@ -493,12 +497,12 @@
     def _make_room(self) -> bool:
         """End a connection that holds no request.
 
-        First those that were told their last, then those that say nothing, then the longest at rest.  What is
-        new is spared while there are others: it was opened for a request that may be on its way.
+        First those that have been told their last, then those that say nothing, then the longest at rest.
+        What is new is spared while there are others: it was opened for a request that may be on its way.
         """
         grown = asyncio.get_running_loop().time() - _YOUNG_S
         chosen = (
-            next(iter(self._phases[Phase.LEAVING]), None)
+            next((each for each in self._phases[Phase.LEAVING] if not each.is_stuck()), None)
             or self._quiet(Phase.WAITING, grown)
             or self._quiet(Phase.RESTING)
             or self._quiet(Phase.WAITING)
