Listen on while a connection waits for room as the drain would stop

Seen: a lead, read line by line: half a second after SIGTERM the listening socket was closed after one pass over its queue. Forced over loopback with one place, taken: the connection that waited was reset, though its request counts as taken once it is written to a connection that the machine accepted.

Ruled out: new connections that cross the close (none come after 0.4 s, and the pass is at 0.5 s); more than 512 in the queue (that is its length).

Wrong lines: Frontend.stop closed the socket whatever _accept had left, and _drain called it once. It closes now only once nothing waits, and _drain asks again at each look. A connection that its client has reset no longer ends the pass over the others. The test failed without the mend: reset by peer.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -14,7 +14,7 @@
 from loopback import CLASSES, PATIENCE_S, World, answer, is_closed, play, read_answer, request, until, world
 
 from topazbank.interface import ServerState
-from topazbank.net import upstream
+from topazbank.net import sidecar, upstream
 from topazbank.net.frontend import _LIMITS_S, Phase
 from topazbank.net.upstream import Address, Connection
 
@@ -286,3 +286,34 @@
                 each.close()
 
     play(scene())
+
+
+# -- SIGTERM x connections that wait to be accepted
+
+
+def test_a_drain_stops_listening_while_a_connection_waits_for_room(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(sidecar, "_ACCEPT_S", 0.0)
+    monkeypatch.setattr(sidecar, "_DEADLINE_MOST_S", 600.0)
+
+    async def scene() -> None:
+        async with world(hung, sockets=66) as w:  # room for one client
+            held, held_writer = await asyncio.open_connection(*w.sidecar.frontend.address)
+            held_writer.write(request("pay", body=b"held", budget="500"))
+            await until(w.sent)
+            await until(lambda: w.sidecar.frontend._accepting)
+            waiting, waiting_writer = await asyncio.open_connection(*w.sidecar.frontend.address)
+            waiting_writer.write(request("pay", body=b"waits", budget="500", X_Call_Id="waits"))
+            await until(lambda: not w.sidecar.frontend._accepting)  # there was no room for it
+            drained = asyncio.create_task(w.sidecar._drain())
+            await until(lambda: w.sidecar.frontend.draining)
+            w.servers[0].script = served
+            w.servers[0].writers[0].write(served())
+            for reader in (held, waiting):
+                status, headers, body = await read_answer(reader)
+                assert (status, headers["connection"], body) == (200, "close", b"served")
+            for each in (held_writer, waiting_writer):
+                each.close()
+            await drained
+            assert w.sidecar.frontend._sock.fileno() < 0
+
+    play(scene())
--- a/topazbank/net/frontend.py
+++ b/topazbank/net/frontend.py
@@ -461,22 +461,24 @@
         self._accepting = False
         asyncio.get_running_loop().remove_reader(self._sock)
 
-    def _accept(self, at_once: int = _ACCEPTED_AT_ONCE) -> None:
-        """Take the connections that wait."""
+    def _accept(self, at_once: int = _ACCEPTED_AT_ONCE) -> bool:
+        """Take the connections that wait; say whether none is left."""
         for _ in range(at_once):
             if self._count() >= self._most and not self._make_room():
                 self._pause()
                 asyncio.get_running_loop().call_later(_ACCEPT_PAUSE_S, self._accept_again)
-                return
+                return False
             try:
                 sock, _ = self._sock.accept()
-            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
-                return
+            except BlockingIOError:
+                return True
+            except (InterruptedError, ConnectionAbortedError):
+                continue
             except OSError as fault:
                 log.error("accept: %s", fault)
                 self._pause()
                 asyncio.get_running_loop().call_later(_ACCEPT_PAUSE_S, self._accept_again)
-                return
+                return False
             if has_ended(sock):  # it waited for longer than its client did
                 sock.close()
                 continue
@@ -485,6 +487,7 @@
             task = asyncio.get_running_loop().create_task(self._begin(sock, self._is_swamped()))
             self._starting.add(task)
             task.add_done_callback(self._starting.discard)
+        return False
 
     async def _begin(self, sock: socket.socket, turned_away: bool) -> None:
         with contextlib.suppress(OSError):
@@ -575,13 +578,13 @@
             if connection.is_idle() and (connection.phase is Phase.RESTING or not used):
                 connection.close()
 
-    def stop(self) -> None:
-        """Take what waits, then listen no more."""
-        if self._sock.fileno() >= 0:
-            self._accept(_BACKLOG)
+    def stop(self) -> bool:
+        """Take what waits, then listen no more; say whether that is done: there may be no room yet."""
+        if self._sock.fileno() >= 0 and self._accept(_BACKLOG):
             if self._accepting:
                 self._pause()
             self._sock.close()
+        return self._sock.fileno() < 0
 
     def is_empty(self) -> bool:
         return not self._count()
--- a/topazbank/net/sidecar.py
+++ b/topazbank/net/sidecar.py
@@ -167,8 +167,8 @@
         while loop.time() < began + _ACCEPT_S:
             await asyncio.sleep(_DRAIN_STEP_S)
             self.frontend.close_idle(used=True)
-        self.frontend.stop()
-        while not self.frontend.is_empty() and loop.time() < last:
+        # What waits to be accepted counts as taken: where there is no room for it, those that end make some.
+        while not (self.frontend.stop() and self.frontend.is_empty()) and loop.time() < last:
             await asyncio.sleep(_DRAIN_STEP_S)
             self.frontend.close_idle(used=loop.time() < began + _LINGER_S)
         for live in list(self._by_call.values()):
