Take no answer for that of a request that is not all written

Seen: read line by line: a second answer to the request before, which comes while a long request is still being written, was served as the answer to that one.

Ruled out: short requests (written in one go; what came before is found by the look at the socket, and what comes later is told apart by the rest alone).

Wrong lines: judge() looked at whether a request was written only where nothing had come. A server begins a request with its last byte, so what comes before answers another: the connection ends, and the attempt never ran. Turned away it may be at any time. The test failed without the mend ('delivered').

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -13,10 +13,10 @@
 import pytest
 from loopback import CLASSES, PATIENCE_S, World, answer, is_closed, play, read_answer, request, until, world
 
-from topazbank.interface import ServerState
+from topazbank.interface import Outcome, ServerState
 from topazbank.net import sidecar, upstream
 from topazbank.net.frontend import _LIMITS_S, Phase
-from topazbank.net.upstream import Address, Connection
+from topazbank.net.upstream import Address, Connection, Response, judge
 
 _FIN_WAIT2 = 5  # as TCP_INFO tells it: the other side's kernel has the end
 
@@ -317,3 +317,14 @@
             assert w.sidecar.frontend._sock.fileno() < 0
 
     play(scene())
+
+
+# -- An answer x its request, which is still being written
+
+
+def test_an_answer_that_comes_before_its_request_is_written_is_no_answer_to_it() -> None:
+    early = Response(200, [], b"again to the one before")
+    assert judge(early, written=False, spoilt=False) is Outcome.DIAL_FAILED
+    assert judge(early, written=True, spoilt=False) is Outcome.DELIVERED
+    away = Response(503, [(b"x-rejected", b"1")], b"")
+    assert judge(away, written=False, spoilt=False) is Outcome.FULL  # a server may say so unasked
--- a/topazbank/net/upstream.py
+++ b/topazbank/net/upstream.py
@@ -422,15 +422,13 @@
 
 def judge(response: Response | None, written: bool, spoilt: bool) -> Outcome:
     """What an ended exchange proves: it never ran only if that is certain."""
-    if response is None and not written:
-        return Outcome.DIAL_FAILED
+    if response is not None and response.status in (503, 504) and response.header(b"x-rejected") == "1":
+        return Outcome.FULL
+    if not written:
+        return Outcome.DIAL_FAILED  # a server begins a request with its last byte: what came answers another
     if response is None:
         return Outcome.ERROR if spoilt else Outcome.DROPPED  # who answers with noise is still there
-    if response.status == 200:
-        return Outcome.DELIVERED
-    if response.status in (503, 504) and response.header(b"x-rejected") == "1":
-        return Outcome.FULL
-    return Outcome.ERROR
+    return Outcome.DELIVERED if response.status == 200 else Outcome.ERROR
 
 
 class Upstream:
