--- /dev/null
+++ b/tests/test_crossings.py
@@ -0,0 +1,330 @@
+"""Two events that cross, forced in the order that does harm.
+
+None is left to chance: an end of a connection is awaited in the kernel with the event loop standing still,
+and what the loop would have read first is handed on by hand.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import time
+
+import pytest
+from loopback import CLASSES, PATIENCE_S, World, answer, is_closed, play, read_answer, request, until, world
+
+from topazbank.interface import Outcome, ServerState
+from topazbank.net import sidecar, upstream
+from topazbank.net.frontend import _LIMITS_S, Phase
+from topazbank.net.upstream import Address, Connection, Response, judge
+
+_FIN_WAIT2 = 5  # as TCP_INFO tells it: the other side's kernel has the end
+
+
+def served(*_: object) -> bytes:
+    return answer(200, b"served")
+
+
+def hung(*_: object) -> None:
+    return None
+
+
+def full(*_: object) -> bytes:
+    return answer(503, b"", X_Rejected="1")
+
+
+class Client:
+    """A client whose end is in the sidecar's kernel once it has left, though its event loop had no turn."""
+
+    def __init__(self, address: Address, data: bytes) -> None:
+        self._sock = socket.create_connection(address)
+        self.send(data)
+
+    def send(self, data: bytes) -> None:
+        self._sock.sendall(data)
+
+    def leave(self) -> None:
+        self._sock.shutdown(socket.SHUT_WR)
+        deadline = time.monotonic() + PATIENCE_S
+        while self._sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] != _FIN_WAIT2:
+            assert time.monotonic() < deadline
+
+    def close(self) -> None:
+        self._sock.close()
+
+
+def connection_of(w: World, ident: str) -> Connection:
+    """The connection that a request's attempt is out on."""
+    (live,) = [each for each in w.sidecar._live.values() if each.call.ident == ident]
+    (exchange,) = live.out.values()
+    assert exchange is not None and exchange.connection is not None
+    return exchange.connection
+
+
+async def rested_everywhere(w: World) -> None:
+    """Let each server have a connection that carries nothing: what is sent next is written at once."""
+    w.sidecar._upstream._rest_s = 0.0
+    while not all(each.writers for each in w.servers):
+        assert (await w.ask())[0] == 200
+
+
+# -- A client leaves x its request, which waited, is sent on
+
+
+def test_a_client_leaves_while_it_waits_to_be_accepted_or_read() -> None:
+    async def scene() -> None:
+        async with world(served) as w:
+            address = w.sidecar.frontend.address
+            unread = Client(address, b"")
+            await until(lambda: w.sidecar.frontend.connections)
+            w.sidecar.frontend._pause()
+            queued = Client(address, request(X_Call_Id="queued"))
+            unread.send(request(X_Call_Id="unread"))
+            for each in (queued, unread):
+                each.leave()
+            w.sidecar.frontend._accept_again()
+            assert (await w.ask(X_Call_Id="next"))[0] == 200  # it was queued behind them
+            await until(lambda: not w.sidecar._live)
+            assert [head["x-call-id"] for _, head, _ in w.sent()] == ["next"]
+            for each in (queued, unread):
+                each.close()
+
+    play(scene())
+
+
+def test_a_client_leaves_as_the_connection_for_its_request_comes_up(monkeypatch: pytest.MonkeyPatch) -> None:
+    dialled, go_on = asyncio.Event(), asyncio.Event()
+    connect = upstream.connect
+
+    async def held_up(*given: object) -> Connection:
+        connection = await connect(*given)  # type: ignore[arg-type]
+        dialled.set()
+        await go_on.wait()
+        return connection
+
+    async def scene() -> None:
+        async with world(served) as w:
+            monkeypatch.setattr(upstream, "connect", held_up)
+            client = Client(w.sidecar.frontend.address, request("pay", body=b"x"))
+            await dialled.wait()
+            client.leave()
+            go_on.set()  # the dial is next in the loop, ahead of what the client's socket holds
+            await until(lambda: not w.sidecar._live)
+            assert (await w.ask(kind="pay", body=b"next", X_Call_Id="next"))[0] == 200
+            assert [body for _, _, body in w.sent()] == [b"next"]
+            # The connection was kept for others, and is counted once.
+            assert w.sidecar._upstream._open == len(w.sidecar._upstream._endpoints["s-0"].idle)
+            client.close()
+
+    play(scene())
+
+
+def test_a_client_leaves_as_its_request_is_drawn_anew() -> None:
+    async def scene() -> None:
+        async with world(served, served) as w:
+            await rested_everywhere(w)
+            for each in w.servers:
+                each.script = hung
+            before = len(w.sent())
+            client = Client(w.sidecar.frontend.address, request())
+            await until(lambda: len(w.sent()) == before + 1)
+            client.leave()
+            connection_of(w, "9b1f03aa5c7e2d41").data_received(full())  # read before the client's end
+            await until(lambda: not w.sidecar._live)
+            assert (await w.ask(path="/health/ready"))[0] == 200  # the loop has had its turns
+            assert len(w.sent()) == before + 1
+            client.close()
+
+    play(scene())
+
+
+def test_a_client_leaves_as_its_request_comes_to_its_turn() -> None:
+    classes = [each | {"by_arrival": True} for each in CLASSES]
+
+    async def scene() -> None:
+        async with world(hung, classes=classes) as w:
+            w.sidecar._upstream._rest_s = 0.0  # what is free is used at once
+            first = Client(w.sidecar.frontend.address, request(X_Call_Id="first"))
+            await until(w.sent)
+            second = Client(w.sidecar.frontend.address, request(X_Call_Id="second"))
+            await until(lambda: len(w.sidecar._live) == 2)
+            second.leave()
+            connection_of(w, "first").data_received(served())
+            await until(lambda: not w.sidecar._live)
+            assert [head["x-call-id"] for _, head, _ in w.sent()] == ["first"]
+            first.close()
+            second.close()
+
+    play(scene())
+
+
+async def flood(w: World, held: bytes) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """Send a request that is held at its server, and then more than is kept."""
+    reader, writer = await asyncio.open_connection(*w.sidecar.frontend.address)
+    writer.write(held)
+    await until(w.sent)
+    ahead = request("pay", body=bytes(60_000), X_Call_Id="ahead")
+    writer.write(ahead * 50)  # more than the kernel holds
+    return reader, writer
+
+
+def test_a_client_that_has_sent_far_ahead_leaves_while_its_request_is_held() -> None:
+    async def scene() -> None:
+        async with world(hung) as w:
+            _, writer = await flood(w, request("pay", body=b"held", budget="500"))
+            writer.close()  # its end comes behind all that
+            await until(lambda: w.servers[0].closed == 1)
+            assert not w.sidecar._live and len(w.sent()) == 1
+
+    play(scene())
+
+
+def test_a_client_that_has_sent_far_ahead_gets_its_answer_and_an_end() -> None:
+    async def scene() -> None:
+        async with world(hung) as w:
+            reader, writer = await flood(w, request("pay", body=b"held", budget="500"))
+            (connection,) = w.sidecar.frontend.connections
+            await until(lambda: connection._dropped)
+            w.servers[0].writers[0].write(served())
+            status, headers, body = await read_answer(reader)
+            assert (status, headers["connection"], body) == (200, "close", b"served")
+            assert await is_closed(reader)
+            assert len(w.sent()) == 1
+            writer.close()
+
+    play(scene())
+
+
+def test_a_client_that_never_ends_behind_a_held_request_is_ended(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("topazbank.net.frontend._DROPPED_MOST", 1024 * 1024)
+
+    async def scene() -> None:
+        async with world(hung) as w:
+            reader, writer = await flood(w, request("pay", body=b"held", budget="500"))
+            assert await is_closed(reader)
+            await until(lambda: w.servers[0].closed == 1)
+            writer.close()
+
+    play(scene())
+
+
+# -- A second answer to one request x the next request on its connection
+
+
+def test_a_second_answer_crosses_the_next_request_where_connections_are_scarce() -> None:
+    async def scene() -> None:
+        async with world(hung, sockets=66) as w:  # room for one connection to servers
+            w.sidecar._upstream._rest_s = 600.0
+            (server,) = w.servers
+
+            def answered_twice(first: str, *_: object) -> bytes:
+                if len(server.writers) == 1 and len(server.requests) == 2:
+                    server.writers[0].write(answer(200, b"again to the first"))
+                return answer(200, first.encode())
+
+            server.script = answered_twice
+            for number in range(3):
+                status, _, body = await w.ask(path=f"/api/{number}", X_Call_Id=f"{number}")
+                assert (status, body) == (200, f"GET /api/{number} HTTP/1.1".encode())
+
+    play(scene())
+
+
+# -- A whole list is fetched x a watch tells of more
+
+
+def test_a_slow_whole_list_lands_after_the_news_of_a_watch() -> None:
+    async def scene() -> None:
+        async with world(served) as w:
+            await until(lambda: w.discovery.called(1))
+            w.sidecar._discovery.fetch()
+            await until(lambda: w.discovery.called(2))
+            (server,) = w.servers
+            state = w.sidecar._balancer._servers["s-0"]
+            w.discovery.say(43, [server.entry(status="leaving")])  # to the watch
+            await until(lambda: state.state is ServerState.DRAINING)
+            await until(lambda: w.discovery.called(3))  # it goes on
+            w.discovery.say(42, [server.entry()], snapshot=True)  # to the fetch, which was called before it
+            await until(lambda: not w.sidecar._discovery._fetches)
+            assert state.state is ServerState.DRAINING
+            w.discovery.say(44, [])
+            await until(lambda: w.discovery.called(4))
+            watched = [each.split("&")[0] for each in w.discovery.targets if "after" in each]
+            assert watched == [f"/registry/instances?after={index}" for index in (41, 43, 44)]
+
+    play(scene())
+
+
+# -- A new connection x an answer that is still being written, where connections are scarce
+
+
+def test_a_new_connection_comes_while_an_answer_is_still_being_written(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setitem(_LIMITS_S, Phase.LEAVING, 600.0)
+
+    async def scene() -> None:
+        async with world(hung, sockets=66) as w:  # room for one client
+            slow = socket.socket()
+            slow.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
+            slow.setblocking(False)
+            await asyncio.get_running_loop().sock_connect(slow, w.sidecar.frontend.address)
+            slow.send(request(budget="500"))
+            await until(w.sent)
+            (connection,) = w.sidecar.frontend.connections
+            connection._sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+            w.servers[0].script = served
+            w.servers[0].writers[0].write(answer(200, bytes(60_000)))
+            await until(lambda: connection._stuck and w.sidecar.frontend._accepting)
+            reader, writer = await asyncio.open_connection(*w.sidecar.frontend.address)
+            writer.write(request(X_Call_Id="new"))
+            await until(lambda: not w.sidecar.frontend._accepting)  # it came, and there was no room
+            slow_reader, slow_writer = await asyncio.open_connection(sock=slow)
+            assert (await read_answer(slow_reader))[2] == bytes(60_000)
+            assert (await read_answer(reader))[2] == b"served"
+            for each in (slow_writer, writer):
+                each.close()
+
+    play(scene())
+
+
+# -- SIGTERM x connections that wait to be accepted
+
+
+def test_a_drain_stops_listening_while_a_connection_waits_for_room(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(sidecar, "_ACCEPT_S", 0.0)
+    monkeypatch.setattr(sidecar, "_DEADLINE_MOST_S", 600.0)
+
+    async def scene() -> None:
+        async with world(hung, sockets=66) as w:  # room for one client
+            held, held_writer = await asyncio.open_connection(*w.sidecar.frontend.address)
+            held_writer.write(request("pay", body=b"held", budget="500"))
+            await until(w.sent)
+            await until(lambda: w.sidecar.frontend._accepting)
+            waiting, waiting_writer = await asyncio.open_connection(*w.sidecar.frontend.address)
+            waiting_writer.write(request("pay", body=b"waits", budget="500", X_Call_Id="waits"))
+            await until(lambda: not w.sidecar.frontend._accepting)  # there was no room for it
+            drained = asyncio.create_task(w.sidecar._drain())
+            await until(lambda: w.sidecar.frontend.draining)
+            w.servers[0].script = served
+            w.servers[0].writers[0].write(served())
+            for reader in (held, waiting):
+                status, headers, body = await read_answer(reader)
+                assert (status, headers["connection"], body) == (200, "close", b"served")
+            for each in (held_writer, waiting_writer):
+                each.close()
+            await drained
+            assert w.sidecar.frontend._sock.fileno() < 0
+
+    play(scene())
+
+
+# -- An answer x its request, which is still being written
+
+
+def test_an_answer_that_comes_before_its_request_is_written_is_no_answer_to_it() -> None:
+    early = Response(200, [], b"again to the one before")
+    assert judge(early, written=False, spoilt=False) is Outcome.DIAL_FAILED
+    assert judge(early, written=True, spoilt=False) is Outcome.DELIVERED
+    away = Response(503, [(b"x-rejected", b"1")], b"")
+    assert judge(away, written=False, spoilt=False) is Outcome.FULL  # a server may say so unasked
--- a/topazbank/net/frontend.py
+++ b/topazbank/net/frontend.py
@@ -33,7 +33,7 @@
 _BUSY_MORE = 1.1  # and at each other one this many times as many
 _DROPPED_MOST = (
     128 * BODY_MOST
-)  # read and dropped of what comes after a rejection, so that its answer arrives
+)  # read and dropped of what comes after a rejection or far ahead, so that answers arrive
 _IDENT_MOST = 256  # characters
 _OVER_DEADLINE = 1.1  # a budget may exceed its class's deadline by rounding, no more
 _REASONS = {200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed"}
@@ -76,6 +76,7 @@
     cost_us: int | None
     again: bool
     answer: Callable[[int, Headers, bytes], None]
+    has_left: Callable[[], bool]  # whether its client has closed, maybe not heard of yet
 
 
 @dataclass(slots=True)
@@ -101,8 +102,17 @@
 _LIMITS_S = {Phase.WAITING: 2.0, Phase.BEHIND: 2.0, Phase.RESTING: 2.0, Phase.LEAVING: 1.0}
 
 
+def retry_after(wait_us: int) -> Headers:
+    """What tells a refused client when to come back; 0: nothing does."""
+    return [(b"Retry-After", b"%.3f" % (wait_us / 1e6))] if wait_us else []
+
+
 def parse_call(
-    head: h11.Request, body: bytes, settings: Settings, answer: Callable[[int, Headers, bytes], None]
+    head: h11.Request,
+    body: bytes,
+    settings: Settings,
+    answer: Callable[[int, Headers, bytes], None],
+    has_left: Callable[[], bool],
 ) -> Call:
     """Read a request of the application; raise BadRequest where it makes no sense or breaks the settings."""
     given: dict[bytes, str] = {}
@@ -128,6 +138,7 @@
         cost_us=int(_number(given[b"x-call-cost"], "x-call-cost")) if given.get(b"x-call-cost") else None,
         again=given.get(b"x-again") == "1",
         answer=answer,
+        has_left=has_left,
     )
     _check_class(call, bool(given.get(b"idempotency-key")), settings)
     _check_tenant(call, settings)
@@ -177,9 +188,10 @@
 class ClientConnection(Reader):
     """One connection of the application; it carries one request at a time."""
 
-    def __init__(self, frontend: Frontend, sock: socket.socket) -> None:
+    def __init__(self, frontend: Frontend, sock: socket.socket, turned_away: bool = False) -> None:
         self._frontend = frontend
         self._sock = sock
+        self._turned_away = turned_away  # its first request is refused unseen
         self._h11 = h11.Connection(h11.SERVER)
         self._transport: asyncio.Transport | None = None
         self._head: h11.Request | None = None
@@ -218,8 +230,8 @@
             self._look_ahead()
         elif not self._stuck:
             self._read()
-        elif len(self._h11.trailing_data[0]) > BODY_MOST and self._transport is not None:
-            self._transport.pause_reading()
+        else:
+            self._bound_ahead()
 
     def pause_writing(self) -> None:
         self._stuck = True
@@ -228,11 +240,21 @@
         self._stuck = False
         if self._call is None and self._dropped is None:
             self._next_request()
+        elif self._call is None:
+            self._linger()
+
+    def _has_left(self) -> bool:
+        """Whether nobody waits for an answer here, though the end of the connection may be unread."""
+        return self._transport is None or self._transport.is_closing() or has_ended(self._sock)
 
     def is_quiet(self) -> bool:
         """Whether nothing has come that is not read yet."""
         return is_quiet(self._sock)
 
+    def is_stuck(self) -> bool:
+        """Whether a part of its last answer is still to be written: closed now, it would be cut short."""
+        return self._stuck
+
     def is_idle(self) -> bool:
         """Whether it may be closed: no request is held, begun or waiting unread."""
         begun = self._head is not None or self._h11.trailing_data[0]
@@ -267,8 +289,15 @@
             self.abort()
             return
         self._frontend.move(self, Phase.OPEN if whole else Phase.BEHIND)
-        if len(behind) > BODY_MOST and self._transport is not None:
-            self._transport.pause_reading()  # it sends ahead; what is held is bounded
+        self._bound_ahead()
+
+    def _bound_ahead(self) -> None:
+        """Drop what is sent ahead beyond a bound; its connection ends with the answer that is due.
+
+        It is read all the same: behind bytes that wait unread, the client's end would not be heard of.
+        """
+        if len(self._h11.trailing_data[0]) > BODY_MOST:
+            self._dropped = 0
 
     def _read(self) -> None:
         """Take what has come, up to the end of one request."""
@@ -321,8 +350,12 @@
             self._answer(200 if self._frontend.hooks.ready() else 503, [], b"")
         elif path != _API_PATH and not path.startswith(_API_PATH + b"/"):
             raise BadRequest(404, "no such path")
+        elif self._turned_away:
+            limits = self._frontend.settings.limits
+            wait_us = limits.max_retry_after_us if limits.retry_after else 0
+            self._answer(503, retry_after(wait_us), b"", ends=True)
         else:
-            call = parse_call(head, body, self._frontend.settings, self._answer)
+            call = parse_call(head, body, self._frontend.settings, self._answer, self._has_left)
             if self._frontend.hooks.is_out(call.ident):
                 raise BadRequest(409, "x-call-id is that of another request, which is still out")
             self._call = call
@@ -341,6 +374,7 @@
         if self._transport is None or self._transport.is_closing():
             return
         ends = ends or self._frontend.draining or self._h11.their_state is not h11.DONE
+        ends = ends or self._dropped is not None
         headers = [*headers, (b"Content-Length", str(len(body)).encode())]
         if ends:
             headers.append((b"Connection", b"close"))
@@ -357,7 +391,7 @@
         if behind:
             self._h11.receive_data(behind)
         self._frontend.move(self, Phase.LEAVING if self._stuck else Phase.RESTING)
-        if not self._stuck and (behind or not self._transport.is_reading()):
+        if not self._stuck and behind:
             asyncio.get_running_loop().call_soon(self._next_request)
 
     def _linger(self) -> None:
@@ -372,7 +406,9 @@
 
     def _drop(self, count: int) -> None:
         self._dropped = (self._dropped or 0) + count
-        if self._dropped > _DROPPED_MOST and self._transport is not None:
+        if self._dropped > _DROPPED_MOST and self._call is not None:
+            self.abort()  # there is no end to it, and its client's end could not be heard of
+        elif self._dropped > _DROPPED_MOST and self._transport is not None:
             self._transport.pause_reading()
 
     def _next_request(self) -> None:
@@ -380,7 +416,6 @@
         if self._transport is None or self._transport.is_closing() or self._call is not None or self._stuck:
             return
         self._frontend.move(self, Phase.RESTING)
-        self._transport.resume_reading()
         self._read()
 
     def _client_gone(self) -> None:
@@ -426,35 +461,38 @@
         self._accepting = False
         asyncio.get_running_loop().remove_reader(self._sock)
 
-    def _accept(self, at_once: int = _ACCEPTED_AT_ONCE) -> None:
-        """Take the connections that wait."""
+    def _accept(self, at_once: int = _ACCEPTED_AT_ONCE) -> bool:
+        """Take the connections that wait; say whether none is left."""
         for _ in range(at_once):
             if self._count() >= self._most and not self._make_room():
                 self._pause()
                 asyncio.get_running_loop().call_later(_ACCEPT_PAUSE_S, self._accept_again)
-                return
+                return False
             try:
                 sock, _ = self._sock.accept()
-            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
-                return
+            except BlockingIOError:
+                return True
+            except (InterruptedError, ConnectionAbortedError):
+                continue
             except OSError as fault:
                 log.error("accept: %s", fault)
                 self._pause()
                 asyncio.get_running_loop().call_later(_ACCEPT_PAUSE_S, self._accept_again)
-                return
-            if has_ended(sock) or self._is_swamped():  # ended: it waited for longer than its client did
+                return False
+            if has_ended(sock):  # it waited for longer than its client did
                 sock.close()
                 continue
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            task = asyncio.get_running_loop().create_task(self._begin(sock))
+            task = asyncio.get_running_loop().create_task(self._begin(sock, self._is_swamped()))
             self._starting.add(task)
             task.add_done_callback(self._starting.discard)
+        return False
 
-    async def _begin(self, sock: socket.socket) -> None:
+    async def _begin(self, sock: socket.socket, turned_away: bool) -> None:
         with contextlib.suppress(OSError):
             loop = asyncio.get_running_loop()
-            await loop.connect_accepted_socket(lambda: ClientConnection(self, sock), sock)
+            await loop.connect_accepted_socket(lambda: ClientConnection(self, sock, turned_away), sock)
 
     def _count(self) -> int:
         return sum(map(len, self._phases.values())) + len(self._starting)
@@ -462,12 +500,12 @@
     def _make_room(self) -> bool:
         """End a connection that holds no request.
 
-        First those that were told their last, then those that say nothing, then the longest at rest.  What is
-        new is spared while there are others: it was opened for a request that may be on its way.
+        First those that have been told their last, then those that say nothing, then the longest at rest.
+        What is new is spared while there are others: it was opened for a request that may be on its way.
         """
         grown = asyncio.get_running_loop().time() - _YOUNG_S
         chosen = (
-            next(iter(self._phases[Phase.LEAVING]), None)
+            next((each for each in self._phases[Phase.LEAVING] if not each.is_stuck()), None)
             or self._quiet(Phase.WAITING, grown)
             or self._quiet(Phase.RESTING)
             or self._quiet(Phase.WAITING)
@@ -505,9 +543,9 @@
     def _is_swamped(self) -> bool:
         """Whether the CPU falls behind with the connections that carry requests.
 
-        Guards against answers that all come late: those served are served in time, and new connections end at
-        once, for a twentieth of what refusing a request costs.  Harm: a short pause of the machine under many
-        connections ends some too.
+        Guards against answers that all come late: those served are served in time, and what comes on new
+        connections is refused unseen, for a part of what a decision costs.  Closed with no answer, more than
+        a few would be lost.  Harm: a short pause of the machine under many connections refuses some too.
         """
         at_rest = len(self._phases[Phase.RESTING]) + len(self._phases[Phase.LEAVING])
         return self._count() - at_rest >= self._most_busy
@@ -540,13 +578,13 @@
             if connection.is_idle() and (connection.phase is Phase.RESTING or not used):
                 connection.close()
 
-    def stop(self) -> None:
-        """Take what waits, then listen no more."""
-        if self._sock.fileno() >= 0:
-            self._accept(_BACKLOG)
+    def stop(self) -> bool:
+        """Take what waits, then listen no more; say whether that is done: there may be no room yet."""
+        if self._sock.fileno() >= 0 and self._accept(_BACKLOG):
             if self._accepting:
                 self._pause()
             self._sock.close()
+        return self._sock.fileno() < 0
 
     def is_empty(self) -> bool:
         return not self._count()
--- a/topazbank/net/sidecar.py
+++ b/topazbank/net/sidecar.py
@@ -46,7 +46,7 @@
 from topazbank.interface import Discovery as DiscoveryMode
 from topazbank.net import upstream
 from topazbank.net.discovery import Discovery, Told
-from topazbank.net.frontend import Call, Frontend, Hooks
+from topazbank.net.frontend import Call, Frontend, Hooks, retry_after
 from topazbank.net.upstream import Address, Exchange, Headers, Response
 
 log = logging.getLogger(__name__)
@@ -167,8 +167,8 @@
         while loop.time() < began + _ACCEPT_S:
             await asyncio.sleep(_DRAIN_STEP_S)
             self.frontend.close_idle(used=True)
-        self.frontend.stop()
-        while not self.frontend.is_empty() and loop.time() < last:
+        # What waits to be accepted counts as taken: where there is no room for it, those that end make some.
+        while not (self.frontend.stop() and self.frontend.is_empty()) and loop.time() < last:
             await asyncio.sleep(_DRAIN_STEP_S)
             self.frontend.close_idle(used=loop.time() < began + _LINGER_S)
         for live in list(self._by_call.values()):
@@ -284,10 +284,7 @@
     def _refuse(self, action: Refuse) -> None:
         live = self._live.get(action.request)
         if live is not None:
-            wait = (
-                [(b"Retry-After", b"%.3f" % (action.retry_after_us / 1e6))] if action.retry_after_us else []
-            )
-            self._answer(live, 503, wait, b"")
+            self._answer(live, 503, retry_after(action.retry_after_us), b"")
 
     def _fail(self, action: Fail) -> None:
         live = self._live.get(action.request)
@@ -308,7 +305,7 @@
         live.out[index] = None
         until = self._clock.on_loop(min(action.until or live.answer_by, live.answer_by))
         ended = partial(self._attempt_ended, live, index, action.server, self._clock.now())
-        order = partial(_request, live.call)
+        order = partial(self._order, live)
         try:
             exchange = self._upstream.send(action.server, order, until, ended)
         except Exception:
@@ -317,6 +314,16 @@
         if index in live.out:
             live.out[index] = exchange
 
+    def _order(self, live: Live, left_s: float) -> bytes | None:
+        """What an attempt sends; nothing where the client has left while its request waited.
+
+        Guards servers against work for nobody: a close that nobody has read of yet is news all the same.
+        """
+        if live.call.has_left():
+            self._gone(live.call)
+            return None
+        return _request(live.call, left_s)
+
     def _attempt_ended(
         self, live: Live, index: int, server: str, sent_at: int, outcome: Outcome, response: Response | None
     ) -> None:
--- a/topazbank/net/upstream.py
+++ b/topazbank/net/upstream.py
@@ -384,7 +384,8 @@
         return max(math.frexp(age_s)[1], _AGE_LEAST)
 
 
-Order = Callable[[float], bytes]  # makes a request when it is written, since it tells the time left
+# Makes a request when it is written, since it tells the time left; None: nobody waits for it any more.
+Order = Callable[[float], bytes | None]
 Ended = Callable[[Outcome, Response | None], None]
 
 
@@ -421,15 +422,13 @@
 
 def judge(response: Response | None, written: bool, spoilt: bool) -> Outcome:
     """What an ended exchange proves: it never ran only if that is certain."""
-    if response is None and not written:
-        return Outcome.DIAL_FAILED
+    if response is not None and response.status in (503, 504) and response.header(b"x-rejected") == "1":
+        return Outcome.FULL
+    if not written:
+        return Outcome.DIAL_FAILED  # a server begins a request with its last byte: what came answers another
     if response is None:
         return Outcome.ERROR if spoilt else Outcome.DROPPED  # who answers with noise is still there
-    if response.status == 200:
-        return Outcome.DELIVERED
-    if response.status in (503, 504) and response.header(b"x-rejected") == "1":
-        return Outcome.FULL
-    return Outcome.ERROR
+    return Outcome.DELIVERED if response.status == 200 else Outcome.ERROR
 
 
 class Upstream:
@@ -496,9 +495,7 @@
             exchange.end(Outcome.UNSENT)
             return exchange
         exchange.timers.append(loop.call_at(until, self._time_up, exchange))
-        connection = self._take_idle(exchange, self._rest_s)
-        if connection is None and self._open >= self._most:
-            connection = self._take_idle(exchange, 0.0)  # no room for another
+        connection = self._take_idle(exchange)
         if connection is not None:
             self._write(exchange, connection)
         elif self._make_room():
@@ -548,7 +545,7 @@
         if exchange.connection is None and not is_up(sock):
             exchange.end(Outcome.DIAL_FAILED)
 
-    def _take_idle(self, exchange: Exchange, rest_s: float) -> Connection | None:
+    def _take_idle(self, exchange: Exchange) -> Connection | None:
         """The last used of those that have rested, unless it has been idle for longer than such ones last.
 
         What a server does to a connection after its answer, an end or more bytes, is under way for as long as
@@ -559,7 +556,7 @@
         for index in reversed(range(len(idle))):
             connection, timer = idle[index]
             idle_s = now + self._idle_s - timer.when()
-            if idle_s < rest_s:
+            if idle_s < self._rest_s:
                 continue
             del idle[index]
             timer.cancel()
@@ -610,11 +607,16 @@
         self._open -= 1
 
     def _write(self, exchange: Exchange, connection: Connection) -> None:
-        exchange.connection = connection
+        exchange.dial = None  # it is over
         exchange.endpoint.dialling.discard(exchange)
-        exchange.written_at = asyncio.get_running_loop().time()
-        left = exchange.until - exchange.written_at
-        connection.request(exchange.order(max(left, 0.0)), partial(self._answered, exchange, connection))
+        now = asyncio.get_running_loop().time()
+        data = exchange.order(max(exchange.until - now, 0.0))
+        if data is None:
+            self._put_back(exchange, connection)
+            exchange.end(Outcome.UNSENT)
+            return
+        exchange.connection, exchange.written_at = connection, now
+        connection.request(data, partial(self._answered, exchange, connection))
 
     def _answered(self, exchange: Exchange, connection: Connection, response: Response | None) -> None:
         self._put_back(exchange, connection)
