--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -7,7 +7,7 @@
 import json
 import socket
 import struct
-from collections.abc import AsyncIterator, Callable, Coroutine
+from collections.abc import AsyncIterator, Callable, Coroutine, Iterator
 from typing import Any
 
 from helpers import KEYED, SAFE, UNSAFE, S, settings
@@ -256,3 +256,20 @@
         return await asyncio.wait_for(reader.read(1), PATIENCE_S) == b""
     except ConnectionError:
         return True
+
+
+@contextlib.contextmanager
+def deaf() -> Iterator[Address]:
+    """A listener whose queue is full: connections to it never come up."""
+    listener = socket.socket()
+    listener.bind(("127.0.0.1", 0))
+    listener.listen(0)
+    fillers = [socket.socket() for _ in range(8)]
+    for each in fillers:
+        each.setblocking(False)
+        each.connect_ex(listener.getsockname())
+    try:
+        yield listener.getsockname()[:2]
+    finally:
+        for each in (*fillers, listener):
+            each.close()
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -3,10 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import socket
 import time
-from collections.abc import Iterator
 
 import pytest
 from helpers import S
@@ -16,6 +14,7 @@
     FakeServer,
     answer,
     ask,
+    deaf,
     play,
     request,
     reset,
@@ -25,7 +24,6 @@
 
 from topazbank.interface import Action, AttemptEnded, Event, Outcome, ServerState
 from topazbank.net.upstream import (
-    Address,
     Exchange,
     IdleAges,
     Order,
@@ -403,23 +401,6 @@
     play(scene())
 
 
-@contextlib.contextmanager
-def deaf() -> Iterator[Address]:
-    """A listener whose queue is full: connections to it never come up."""
-    listener = socket.socket()
-    listener.bind(("127.0.0.1", 0))
-    listener.listen(0)
-    fillers = [socket.socket() for _ in range(8)]
-    for each in fillers:
-        each.setblocking(False)
-        each.connect_ex(listener.getsockname())
-    try:
-        yield listener.getsockname()[:2]
-    finally:
-        for each in (*fillers, listener):
-            each.close()
-
-
 @pytest.mark.parametrize(("dial_limit", "seconds"), [(0.1, 30.0), (30.0, 0.1)])
 def test_a_dial_ends_at_its_own_limit_and_at_the_end_of_the_attempt(
     dial_limit: float, seconds: float
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -9,15 +9,30 @@
 import asyncio
 import socket
 import time
+from collections.abc import Callable
 
 import pytest
-from loopback import CLASSES, PATIENCE_S, World, answer, is_closed, play, read_answer, request, until, world
+from loopback import (
+    CLASSES,
+    PATIENCE_S,
+    FakeServer,
+    World,
+    answer,
+    is_closed,
+    play,
+    read_answer,
+    request,
+    until,
+    world,
+)
 
 from topazbank.interface import Outcome, ServerState
 from topazbank.net import sidecar, upstream
+from topazbank.net.discovery import Discovery, Told
 from topazbank.net.frontend import _LIMITS_S, Phase
-from topazbank.net.upstream import Address, Connection, Response, judge
+from topazbank.net.upstream import Address, Connection, Exchange, Response, Upstream, judge, message
 
+LATER = time.monotonic() + 3600.0  # as the event loop counts
 _FIN_WAIT2 = 5  # as TCP_INFO tells it: the other side's kernel has the end
 
 
@@ -328,3 +343,96 @@
     assert judge(early, written=True, spoilt=False) is Outcome.DELIVERED
     away = Response(503, [(b"x-rejected", b"1")], b"")
     assert judge(away, written=False, spoilt=False) is Outcome.FULL  # a server may say so unasked
+
+
+# -- An attempt's end x its answer
+
+
+async def written(server: FakeServer) -> tuple[Upstream, Exchange, Connection, list[Outcome]]:
+    """An attempt that is written to a server which does not answer by itself, and what is heard of it."""
+    await server.start()
+    upstream = Upstream(600.0, 600.0, 10)
+    upstream.update("s", server.address, None, ServerState.READY)
+    heard: list[Outcome] = []
+    get = message(b"GET /api/1 HTTP/1.1", [(b"Host", b"x")])
+    exchange = upstream.send("s", lambda _: get, LATER, lambda outcome, _: heard.append(outcome))
+    await until(lambda: server.requests)
+    assert exchange.connection is not None
+    return upstream, exchange, exchange.connection, heard
+
+
+ENDS: dict[str, tuple[Callable[[Upstream, Exchange], None], list[Outcome]]] = {
+    "its time is up": (lambda u, e: u._time_up(e), [Outcome.EXPIRED]),
+    "it is called off": (lambda u, e: u.cancel(e), [Outcome.CANCELLED]),
+    "its connection breaks": (lambda u, e: e.connection.connection_lost(None), [Outcome.DROPPED]),  # type: ignore[union-attr]
+}
+
+
+@pytest.mark.parametrize("how", ENDS)
+def test_an_attempt_ends_as_its_answer_comes(how: str) -> None:
+    end, ended = ENDS[how]
+
+    async def scene() -> None:
+        for answer_first in (True, False):
+            server = FakeServer("s", hung)
+            upstream, exchange, connection, heard = await written(server)
+            for step in (True, False) if answer_first else (False, True):
+                if step:
+                    connection.data_received(served())
+                else:
+                    end(upstream, exchange)
+            assert heard == ([Outcome.DELIVERED] if answer_first else ended)
+            # Where the answer was last, nobody knows whose the next one on that connection would be.
+            assert connection.is_idle() is (answer_first and how != "its connection breaks")
+            server.stop()
+
+    play(scene())
+
+
+def test_an_idle_connection_s_time_is_up_as_the_next_request_takes_it() -> None:
+    async def scene() -> None:
+        server = FakeServer("s", served)
+        upstream, _, connection, heard = await written(server)
+        await until(lambda: heard)
+        upstream._rest_s = 0.0
+        (_, timer) = upstream._endpoints["s"].idle[0]
+        server.script = hung
+        upstream.send(
+            "s", lambda _: b"GET / HTTP/1.1\r\n\r\n", LATER, lambda outcome, _: heard.append(outcome)
+        )
+        timer._run()  # it was due in the same turn of the loop
+        await until(lambda: len(server.requests) == 2)
+        connection.data_received(served())
+        assert heard == [Outcome.DELIVERED, Outcome.DELIVERED] and len(server.writers) == 1
+        server.stop()
+
+    play(scene())
+
+
+# -- SIGHUP x an answer of discovery's former place
+
+
+def test_discovery_moves_as_its_former_place_answers(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def scene() -> None:
+        heard: list[Told | None] = []
+        called: list[tuple[Address, str, asyncio.Future[Response]]] = []
+
+        async def call(self: Discovery, target: str, _: asyncio.Timeout) -> Response:
+            called.append((self._address, target, asyncio.get_running_loop().create_future()))
+            return await called[-1][2]
+
+        monkeypatch.setattr(Discovery, "_call", call)
+        discovery = Discovery(("127.0.0.1", 1), 41, heard.append)
+        discovery.follow(True)
+        await until(lambda: called)
+        called[0][2].set_result(Response(200, [], b'{"index": 99, "snapshot": true, "endpoints": []}'))
+        discovery.move(("127.0.0.1", 2))  # before the watch had a turn
+        await until(lambda: len(called) == 2)
+        assert heard == [] and called[1][:2] == (("127.0.0.1", 2), "/registry/instances")
+        called[1][2].set_result(Response(200, [], b'{"index": 7, "snapshot": true, "endpoints": []}'))
+        await until(lambda: len(called) == 3)
+        assert [told and told.version for told in heard] == [7]
+        assert called[2][1].startswith("/registry/instances?after=7&")
+        discovery.stop()
+
+    play(scene())
