Give up dials to a server's old place once the list tells of a new one

Seen: read line by line, and forced over loopback: a dial under way went on to the address that the list had just taken back, and would have written its request to whoever listens there by then.

Ruled out: a restart in the same place (it is the same server, which its budget as a cold one bounds); idle connections (closed at once); a server that takes nothing new (its dials were ended already).

Wrong lines: Upstream.update closed only what was idle. Its dials end now as failed, so that the request is drawn anew. The test failed without the mend.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -18,6 +18,7 @@
     FakeServer,
     World,
     answer,
+    deaf,
     is_closed,
     play,
     read_answer,
@@ -345,6 +346,23 @@
     assert judge(away, written=False, spoilt=False) is Outcome.FULL  # a server may say so unasked
 
 
+# -- The list tells of a server's new place x a connection to its old one comes up
+
+
+def test_a_server_moves_while_a_connection_to_its_old_place_is_dialled() -> None:
+    async def scene() -> None:
+        with deaf() as address:
+            servers = Upstream(600.0, 600.0, 10)
+            servers.update("s", address, None, ServerState.READY)
+            heard: list[Outcome] = []
+            servers.send("s", lambda _: b"", LATER, lambda outcome, _: heard.append(outcome))
+            servers.update("s", ("127.0.0.1", 9), None, ServerState.READY)
+            assert heard == [Outcome.DIAL_FAILED]
+            await until(lambda: servers._open == 0)
+
+    play(scene())
+
+
 # -- An attempt's end x its answer
 
 
--- a/topazbank/net/upstream.py
+++ b/topazbank/net/upstream.py
@@ -452,6 +452,8 @@
             return
         address = address or known.address
         if (known.address, known.started_at) != (address, started_at):
+            if known.address != address:
+                self._withdraw(known)  # who listens there now may be any other
             known.address, known.started_at = address, started_at
             known.generation += 1
             self.close_idle(name)
