Send nothing to a server between the list's word and the balancer's

Seen: read line by line, and forced over loopback: a drain in the list ends the dials to its server first, and the balancer hears of those ends before it hears of the list. The next request in turn was then drawn for the very server that drains, and dialled after its dials had been ended.

Ruled out: the request whose dial ended (that server failed it), news of the list by itself (nothing is sent from the moment of hearing), a second look at the list (the dial under way would have been ended only by the next one).

Wrong lines: Upstream.send went by the balancer's word alone, though the endpoint held the list's already; and update() ended dials before it had noted a new place. An attempt at a server that is not ready is unsent now. The test found the second dial without the mend.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -12,8 +12,10 @@
 from collections.abc import Callable
 
 import pytest
+from helpers import S
 from loopback import (
     CLASSES,
+    LIMITS,
     PATIENCE_S,
     FakeServer,
     World,
@@ -29,7 +31,7 @@
 
 from topazbank.interface import Outcome, ServerState
 from topazbank.net import sidecar, upstream
-from topazbank.net.discovery import Discovery, Told
+from topazbank.net.discovery import Discovery, Told, parse_list
 from topazbank.net.frontend import _LIMITS_S, Phase
 from topazbank.net.upstream import Address, Connection, Exchange, Response, Upstream, judge, message
 
@@ -363,6 +365,33 @@
     play(scene())
 
 
+# -- The list tells of a drain x a request that is drawn for its server
+
+
+def test_a_dial_ends_with_the_drain_of_its_server_and_the_next_in_turn_is_drawn_for_it() -> None:
+    # The end of the dial reaches the balancer ahead of the list, and lets the next request of its key out.
+    classes = [each | {"by_arrival": True} for each in CLASSES]
+    limits = LIMITS | {"max_attempts": 1, "dial_timeout_us": 600 * S}
+
+    async def scene() -> None:
+        with deaf() as address:
+            async with world(served, classes=classes, limits=limits) as w:
+                w.sidecar._upstream.update("s-0", address, None, ServerState.READY)
+                outs = [
+                    asyncio.create_task(w.ask(kind="pay", body=b"x", X_Call_Id=each, budget="500"))
+                    for each in ("first", "second")
+                ]
+                await until(lambda: len(w.sidecar._live) == 2)
+                where = "{}:{}".format(*address)
+                entry = w.servers[0].entry(status="leaving", address=where)
+                w.sidecar._told(parse_list({"index": 42, "endpoints": [entry]}))
+                dialling = w.sidecar._upstream._endpoints["s-0"].dialling
+                assert not dialling
+                assert {(await each)[0] for each in outs} == {503}
+
+    play(scene())
+
+
 # -- An attempt's end x its answer
 
 
--- a/topazbank/net/upstream.py
+++ b/topazbank/net/upstream.py
@@ -452,11 +452,12 @@
             return
         address = address or known.address
         if (known.address, known.started_at) != (address, started_at):
-            if known.address != address:
-                self._withdraw(known)  # who listens there now may be any other
+            moved = known.address != address
             known.address, known.started_at = address, started_at
             known.generation += 1
             self.close_idle(name)
+            if moved:
+                self._withdraw(known)  # who listens there now may be any other
         known.state = state
         if state is not ServerState.READY:
             self._withdraw(known)
@@ -493,7 +494,8 @@
         endpoint = self._endpoints[name]
         loop = asyncio.get_running_loop()
         exchange = Exchange(endpoint, order, until, ended)
-        if until <= loop.time():
+        if until <= loop.time() or endpoint.state is not ServerState.READY:
+            # Not ready: the list has told so, and its news are still on their way to the balancer.
             exchange.end(Outcome.UNSENT)
             return exchange
         exchange.timers.append(loop.call_at(until, self._time_up, exchange))
