Make no room by an idle connection that its server has closed

Seen: read line by line, and forced over loopback with two places: two requests out and one idle connection whose server had closed it: a third was dialled.

Ruled out: the count of open connections (right: it fell as that one closed), the look at an idle connection before it is used (it finds the end).

Wrong lines: Upstream._make_room took the longest idle one for a place, though what had ended was still noted as idle. It goes on to the next now. The test counted three open of two without the mend.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -456,6 +456,35 @@
     play(scene())
 
 
+# -- A server closes an idle connection x another takes its place
+
+
+def test_idle_connections_that_their_server_has_closed_make_no_room() -> None:
+    async def scene() -> None:
+        idle, busy = FakeServer("a", served), FakeServer("s", hung)
+        servers = Upstream(600.0, 600.0, 2)
+        for each in (idle, busy):
+            await each.start()
+            servers.update(each.name, each.address, None, ServerState.READY)
+        heard: list[Outcome] = []
+
+        def send(name: str) -> None:
+            get = message(b"GET / HTTP/1.1", [(b"Host", b"x")])
+            servers.send(name, lambda _: get, LATER, lambda outcome, _: heard.append(outcome))
+
+        send("a")
+        await until(lambda: heard)
+        idle.stop()
+        await until(lambda: not servers._open)  # and still noted as idle
+        for _ in range(3):
+            send("s")
+        assert servers._open == 2 and heard == [Outcome.DELIVERED, Outcome.DIAL_FAILED]
+        await until(lambda: len(busy.requests) == 2)
+        busy.stop()
+
+    play(scene())
+
+
 # -- SIGHUP x an answer of discovery's former place
 
 
--- a/topazbank/net/upstream.py
+++ b/topazbank/net/upstream.py
@@ -575,14 +575,14 @@
         """Whether one more connection may be opened, perhaps for an idle one elsewhere."""
         if self._open < self._most:
             return True
-        idle = [each for each in self._endpoints.values() if each.idle]
-        if not idle:
-            return False
-        fullest = max(idle, key=lambda each: len(each.idle))
-        connection, timer = fullest.idle.pop(0)
-        timer.cancel()
-        connection.abort()
-        return True
+        while idle := [each for each in self._endpoints.values() if each.idle]:
+            fullest = max(idle, key=lambda each: len(each.idle))
+            connection, timer = fullest.idle.pop(0)
+            timer.cancel()
+            if connection.reusable:  # else it has ended already, and makes no room
+                connection.abort()
+                return True
+        return False
 
     async def _dial(self, exchange: Exchange) -> bool:
         """Dial and write; say whether there is a connection now."""
