Count dials to a server's old place as unsent, not as its failures

UNSENT proves as well that nothing ran, and is no strike. Servers that take nothing new stay as they were: strikes mean nothing there. The test asks for the outcome now, and failed before.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -359,7 +359,7 @@
             heard: list[Outcome] = []
             servers.send("s", lambda _: b"", LATER, lambda outcome, _: heard.append(outcome))
             servers.update("s", ("127.0.0.1", 9), None, ServerState.READY)
-            assert heard == [Outcome.DIAL_FAILED]
+            assert heard == [Outcome.UNSENT]  # which is no strike against the server
             await until(lambda: servers._open == 0)
 
     play(scene())
--- a/topazbank/net/upstream.py
+++ b/topazbank/net/upstream.py
@@ -457,7 +457,7 @@
             known.generation += 1
             self.close_idle(name)
             if moved:
-                self._withdraw(known)  # who listens there now may be any other
+                self._withdraw(known, Outcome.UNSENT)  # who listens there now may be any other
         known.state = state
         if state is not ServerState.READY:
             self._withdraw(known)
@@ -483,11 +483,11 @@
             self.update(name, None, None, ServerState.GONE)
         return former
 
-    def _withdraw(self, endpoint: Endpoint) -> None:
+    def _withdraw(self, endpoint: Endpoint, outcome: Outcome = Outcome.DIAL_FAILED) -> None:
         """End what was not written to a server that takes nothing new: a slow dial may outlast the grace."""
         self.close_idle(endpoint.name)
         for exchange in list(endpoint.dialling):
-            exchange.end(Outcome.DIAL_FAILED)
+            exchange.end(outcome)
 
     def send(self, name: str, order: Order, until: float, ended: Ended) -> Exchange:
         """Start an attempt; `ended` hears its outcome exactly once, maybe before this returns."""
