Let an idle connection go with the client that left as it was taken

A new connection is still kept: its time begins there. The test found it idle again without the mend.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -456,6 +456,22 @@
     play(scene())
 
 
+def test_a_client_has_left_as_its_request_takes_an_idle_connection() -> None:
+    # Kept as if it had just been used, the connection would be held for longer than its server holds it.
+    async def scene() -> None:
+        server = FakeServer("s", served)
+        upstream, _, connection, heard = await written(server)
+        await until(lambda: heard)
+        upstream._rest_s = 0.0
+        upstream.send("s", lambda _: None, LATER, lambda outcome, _: heard.append(outcome))
+        assert heard == [Outcome.DELIVERED, Outcome.UNSENT]
+        assert not upstream._endpoints["s"].idle and not connection.is_idle()
+        await until(lambda: upstream._open == 0)
+        server.stop()
+
+    play(scene())
+
+
 # -- A server closes an idle connection x another takes its place
 
 
--- a/topazbank/net/upstream.py
+++ b/topazbank/net/upstream.py
@@ -616,7 +616,10 @@
         now = asyncio.get_running_loop().time()
         data = exchange.order(max(exchange.until - now, 0.0))
         if data is None:
-            self._put_back(exchange, connection)
+            if exchange.idle_s is None:
+                self._put_back(exchange, connection)
+            else:
+                connection.abort()  # its idle time goes on at its server, and must not begin anew here
             exchange.end(Outcome.UNSENT)
             return
         exchange.connection, exchange.written_at = connection, now
