Write no repeat of a keyed request once servers may have forgotten the first

At fault: Balancer._may_run_again checks the window as it decides, and nothing after that knew of it: Send carried no such time, and Upstream._write wrote whenever the connection came up, up to the dial limit later. Send tells it now, and the sidecar writes no attempt beside another one that was begun from then on; one still being written then is ended. That holds for a first attempt as well, which may come up after its second.

--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -145,6 +145,22 @@
     assert [each.request for each in stage.said(Fail)] == [request]
 
 
+def test_all_attempts_of_a_keyed_request_are_to_be_written_before_servers_forget_the_first() -> None:
+    # A connection may come up long after the decision: whoever carries it out has to know the end.
+    stage = Stage()
+    stage.servers(cells())
+    request = stage.request("amend", remaining_us=4 * S)
+    stage.end(request, Outcome.FULL)  # it never ran
+    stage.wait(100 * MS)
+    sent_at = stage.now
+    stage.end(request, Outcome.DIAL_FAILED)  # nor then
+    stage.wait(500 * MS)
+    stage.end(request, Outcome.DROPPED)
+    ends = [send.repeat_by for _, send in stage.sends(request)]
+    assert ends == [START + 2 * S - 5 * MS] * 2 + [sent_at + 2 * S - 5 * MS] * 2
+    assert [send.repeat_by for _, send in stage.sends(stage.request("pay"))] == [None]
+
+
 def test_a_second_copy_waits_for_the_first_where_only_one_may_be_out() -> None:
     stage = Stage(settings(limits={"second_copies": False}))
     stage.servers(names(6))
--- a/topazbank/balancer.py
+++ b/topazbank/balancer.py
@@ -885,14 +885,13 @@
 
     def _send(self, request: Request, server: Server) -> bool:
         """The one way out for an attempt.  Says whether the attempt was allowed and sent."""
-        limits = self._settings.limits
         if request.answered or self._now >= request.answer_by:
             return False  # rule 1: nothing after the final answer, nothing that cannot be answered in time
-        if len(request.attempts) >= limits.max_attempts:
+        if len(request.attempts) >= self._settings.limits.max_attempts:
             return False
         if not self._has_turn(request):
             return False  # order
-        if not limits.second_copies and request.is_out():
+        if not self._settings.limits.second_copies and request.is_out():
             return False  # rule 2
         if not self._may_run_again(request) or not self._in_group(request, server):
             return False  # rule 2
@@ -911,18 +910,20 @@
             server.trial = attempt
             self._stuck += 1
         self._schedule(self._now + self._patience(request, server), request.ident, attempt.index)
-        self._actions.append(Send(request.ident, server.name, request.answer_by))
+        repeat_by = self._repeat_by(request) if request.kind.repeat is Repeat.KEYED else None
+        self._actions.append(Send(request.ident, server.name, request.answer_by, repeat_by))
         return True
 
     def _may_run_again(self, request: Request) -> bool:
         """Whether the request's class lets another attempt out now."""
-        first_maybe = next((each for each in request.attempts if each.may_have_run), None)
-        if first_maybe is None or request.kind.repeat is Repeat.SAFE:
+        if request.kind.repeat is Repeat.SAFE or not any(each.may_have_run for each in request.attempts):
             return True
-        if request.kind.repeat is Repeat.UNSAFE:
-            return False
-        # Keyed: servers forget; one tick less, since the clock is read once a tick.
-        return self._now + self._settings.tick_us < first_maybe.sent_at + request.kind.memory_us
+        return request.kind.repeat is Repeat.KEYED and self._now < self._repeat_by(request)
+
+    def _repeat_by(self, request: Request) -> int:
+        """When servers may begin to forget it; one tick less, since the clock is read once a tick."""
+        since = next((each.sent_at for each in request.attempts if each.may_have_run), self._now)
+        return since + request.kind.memory_us - self._settings.tick_us
 
     @staticmethod
     def _in_group(request: Request, server: Server) -> bool:
--- a/topazbank/interface.py
+++ b/topazbank/interface.py
@@ -477,6 +477,9 @@
     request: int
     server: str
     until: int  # clock time at which the attempt is abandoned
+    repeat_by: int | None = (
+        None  # and before which it is written whole if another one was begun; None: always
+    )
 
 
 @dataclass(slots=True)
--- a/topazbank/net/sidecar.py
+++ b/topazbank/net/sidecar.py
@@ -87,6 +87,7 @@
     answered: bool = False
     sent: int = 0  # attempts so far
     out: dict[int, Exchange | None] = field(default_factory=dict)  # those that have not ended, by number
+    begun: set[int] = field(default_factory=set)  # those of which a first byte was written
     backstop: asyncio.TimerHandle | None = None
 
 
@@ -305,7 +306,7 @@
         live.out[index] = None
         until = self._clock.on_loop(min(action.until or live.answer_by, live.answer_by))
         ended = partial(self._attempt_ended, live, index, action.server, self._clock.now())
-        order = partial(self._order, live)
+        order = partial(self._order, live, index, action.repeat_by)
         try:
             exchange = self._upstream.send(action.server, order, until, ended)
         except Exception:
@@ -313,17 +314,31 @@
             raise
         if index in live.out:
             live.out[index] = exchange
+            if action.repeat_by is not None and not exchange.is_written():
+                at = self._clock.on_loop(action.repeat_by)
+                over = asyncio.get_running_loop().call_at(at, self._repeat_over, live, index)
+                exchange.timers.append(over)
 
-    def _order(self, live: Live, left_s: float) -> bytes | None:
-        """What an attempt sends; nothing where the client has left while its request waited.
+    def _order(self, live: Live, index: int, repeat_by: int | None, left_s: float) -> bytes | None:
+        """What an attempt sends; nothing where that is of no use any more.
 
         Guards servers against work for nobody: a close that nobody has read of yet is news all the same.
+        Guards what runs once, too: as a connection comes up, servers may have forgotten another attempt.
         """
         if live.call.has_left():
             self._gone(live.call)
             return None
+        if repeat_by is not None and live.begun - {index} and self._clock.now() >= repeat_by:
+            return None
+        live.begun.add(index)
         return _request(live.call, left_s)
 
+    def _repeat_over(self, live: Live, index: int) -> None:
+        """Servers begin to forget: an attempt beside others may not be written to its end any more."""
+        attempt = live.out.get(index)
+        if attempt is not None and live.begun - {index}:
+            self._upstream.unsend(attempt)
+
     def _attempt_ended(
         self, live: Live, index: int, server: str, sent_at: int, outcome: Outcome, response: Response | None
     ) -> None:
--- a/topazbank/net/upstream.py
+++ b/topazbank/net/upstream.py
@@ -404,6 +404,10 @@
         self.dial: asyncio.Task[bool] | None = None
         self.timers: list[asyncio.TimerHandle] = []
 
+    def is_written(self) -> bool:
+        """Whether the last byte of its request has gone to the kernel."""
+        return self.connection is not None and self.connection.written
+
     def end(self, outcome: Outcome, response: Response | None = None) -> None:
         """Tell the outcome, once; what comes later is nobody's."""
         ended, self.ended = self.ended, None
@@ -523,7 +527,7 @@
 
     def unsend(self, exchange: Exchange) -> None:
         """End an attempt that is not all written yet, so that it never will be."""
-        if exchange.connection is None or not exchange.connection.written:
+        if not exchange.is_written():
             exchange.end(Outcome.UNSENT)
 
     def close_idle(self, name: str) -> None:
@@ -535,10 +539,7 @@
 
     @staticmethod
     def _time_up(exchange: Exchange) -> None:
-        connection = exchange.connection
-        exchange.end(
-            Outcome.EXPIRED if connection is not None and connection.written else Outcome.DIAL_FAILED
-        )
+        exchange.end(Outcome.EXPIRED if exchange.is_written() else Outcome.DIAL_FAILED)
 
     @staticmethod
     def _dial_time_up(exchange: Exchange, sock: socket.socket) -> None:
