Take a rejection for a proof only where its server says nothing else

A 503 or 504 with X-Rejected: 1 counted as proof that the request never ran, whatever came with it. A second answer or noise right behind it, or a second X-Rejected that says otherwise, says two things: one of the answers may belong to the request before, and the other be this one's. Work that may run once was then drawn again after a 200.

Ruled out: that the rest of a connection covers it. That keeps a late answer to the request before from the next one, but not two answers read at once on a new connection, as the test has it.

At fault: upstream.judge looked at status and the first such header alone, and Connection told only of answers that broke, not of those with more behind them. Such a rejection is an error now, which may have run. A 200 with more behind it is passed on as before.

The four new cases of test_an_unsafe_request_is_sent_again_only_where_it_never_ran failed without the mend: the request went out twice. A second answer that comes in a later read is not covered: the first has been acted on by then.

--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -75,6 +75,11 @@
         (answer(504, b"", X_Rejected="1"), 200, 2),
         (answer(503, b""), 500, 1),
         (answer(500, b"", X_Rejected="1"), 500, 1),
+        # These say two things: one answer may be another request's, and one header takes the other back.
+        (answer(503, b"", X_Rejected="1") + answer(200, b"served"), 500, 1),
+        (answer(503, b"", X_Rejected="1") + answer(503, b"", X_Rejected="1"), 500, 1),
+        (answer(503, b"", X_Rejected="1") + b"nonsense", 500, 1),
+        (answer(503, b"", X_Rejected="1", x_rejected="0"), 500, 1),
         (b"", 500, 1),
         (b"HTTP/1.1 200 X\r\nContent-Length: 10\r\nConnection: close\r\n\r\nshort", 500, 1),
         (b"nonsense\r\n\r\n", 500, 1),
--- a/topazbank/net/upstream.py
+++ b/topazbank/net/upstream.py
@@ -102,6 +102,11 @@
     def header(self, name: bytes) -> str | None:
         return next((v.decode("latin-1") for n, v in self.headers if n == name), None)
 
+    def is_rejection(self) -> bool:
+        """Whether it says, and nothing else, that the server has not begun the request."""
+        said = [v for n, v in self.headers if n == b"x-rejected"]
+        return self.status in (503, 504) and said == [b"1"]
+
 
 _READ = memoryview(
     bytearray(64 * 1024)
@@ -138,7 +143,7 @@
     def __init__(self, sock: socket.socket, body_most: int, stall_s: float | None = None) -> None:
         self.sock = sock
         self.reusable = True
-        self.spoilt = False  # whether it has answered with what is no answer
+        self.spoilt = False  # whether it has answered with what is no answer, or with more than one
         self._body_most = body_most
         self._stall_s = stall_s  # what an answer that has begun may take; None: bounded elsewhere
         self._stall: asyncio.TimerHandle | None = None
@@ -234,7 +239,8 @@
                 return False
         elif isinstance(event, h11.EndOfMessage):
             done = self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE
-            self._finish(self._response(), done and not self._h11.trailing_data[0])
+            self.spoilt = bool(self._h11.trailing_data[0])
+            self._finish(self._response(), done and not self.spoilt)
             return False
         return not isinstance(event, h11.ConnectionClosed | type(h11.NEED_DATA))
 
@@ -425,8 +431,11 @@
 
 
 def judge(response: Response | None, written: bool, spoilt: bool) -> Outcome:
-    """What an ended exchange proves: it never ran only if that is certain."""
-    if response is not None and response.status in (503, 504) and response.header(b"x-rejected") == "1":
+    """What an ended exchange proves: it never ran only if that is certain.
+
+    A rejection with more behind it proves nothing: one of the two may answer the request before.
+    """
+    if response is not None and response.is_rejection() and not spoilt:
         return Outcome.FULL
     if not written:
         return Outcome.DIAL_FAILED  # a server begins a request with its last byte: what came answers another
