Refuse no new connection's request whose id is that of one still out

While the CPU falls behind, the first request of a new connection is answered 503 unseen, which says that trying again is harmless. It was said of a request too whose id is out already: its client lost the connection and sends it again, and the attempt that is out may have run.

Ruled out: the other answers that are not the module's (500, 408, 409, 4xx) promise nothing; /health/ready is no request.

At fault: ClientConnection._whole answered 503 before the id was looked at. It is looked at first now, and answered 409. test_an_id_that_is_out_is_turned_away_also_where_new_connections_are_refused failed without the mend: 503.

--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -315,6 +315,23 @@
     play(scene())
 
 
+def test_an_id_that_is_out_is_turned_away_also_where_new_connections_are_refused(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Guards rule 2: a 503 says that trying again is harmless, and the other one may have run.
+    async def scene() -> None:
+        async with world(lambda *_: None) as w:
+            _, writer = await asyncio.open_connection(*w.sidecar.frontend.address)
+            writer.write(request("pay", body=b"first", X_Call_Id="one"))
+            await until(w.sent)
+            monkeypatch.setattr(Frontend, "_is_swamped", lambda _: True)
+            assert (await w.ask(kind="pay", X_Call_Id="other"))[0] == 503
+            assert (await w.ask(kind="pay", X_Call_Id="one"))[0] == 409
+            writer.close()
+
+    play(scene())
+
+
 def test_a_head_request_gets_no_body() -> None:
     async def scene() -> None:
         async with world(served) as w:
--- a/topazbank/net/frontend.py
+++ b/topazbank/net/frontend.py
@@ -351,17 +351,22 @@
         elif path != _API_PATH and not path.startswith(_API_PATH + b"/"):
             raise BadRequest(404, "no such path")
         elif self._turned_away:
+            self._check_id(next((v.decode("latin-1") for n, v in head.headers if n == b"x-call-id"), ""))
             limits = self._frontend.settings.limits
             wait_us = limits.max_retry_after_us if limits.retry_after else 0
             self._answer(503, retry_after(wait_us), b"", ends=True)
         else:
             call = parse_call(head, body, self._frontend.settings, self._answer, self._has_left)
-            if self._frontend.hooks.is_out(call.ident):
-                raise BadRequest(409, "x-call-id is that of another request, which is still out")
+            self._check_id(call.ident)
             self._call = call
             self._frontend.move(self, Phase.OPEN)
             self._frontend.hooks.taken(call)
 
+    def _check_id(self, ident: str) -> None:
+        """Neither send on nor call harmless to repeat what may be running already."""
+        if self._frontend.hooks.is_out(ident):
+            raise BadRequest(409, "x-call-id is that of another request, which is still out")
+
     def _reject(self, bad: BadRequest) -> None:
         """Turn the request away and end the connection: nothing more is expected of this client."""
         log.info("request rejected: %s", bad)
