Send what may run once only once for an id, also after its request is over

A client whose connection breaks under the answer (a close over unread bytes, a slow reader at the end of a connection) can't tell whether its request was read, and sends it again under the same id. While an attempt was out that was turned away; once it had ended, with the answer lost on the way, the work went out a second time.

Ruled out: a request closed unread, which its client has to send again: nothing of it was begun, and its id stays free, as does that of one which found no server, and any that is safe to repeat.

At fault: Sidecar._forget_if_over forgot the id with the last attempt. Where an attempt was begun and the class may run but once, it is kept until its client has surely given up: for the deadline of the class.

test_the_id_of_a_request_that_is_still_out_is_turned_away said that the id is free once the request is over, which the protocol does not ask: each request comes with a new id. It asks now that the work goes out once (it failed without the mend), that other ids and those safe to repeat go on, and two more tests when an id is free. World.ask gives each request an id of its own, as the protocol has it.

--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -166,13 +166,18 @@
         self.servers = servers
         self.discovery = discovery
         self.stop = asyncio.Event()
+        self._asked = 0
 
     def sent(self) -> list[tuple[str, Head, bytes]]:
         """All requests that reached servers, by server."""
         return [request for server in self.servers for request in server.requests]
 
     async def ask(self, **changes: Any) -> tuple[int, Head, bytes]:
-        return await ask(self.sidecar.frontend.address, request(**changes))
+        """Ask with an id of its own, as each request has."""
+        self._asked += 1
+        return await ask(
+            self.sidecar.frontend.address, request(**{"X_Call_Id": f"{self._asked:016x}", **changes})
+        )
 
 
 # As the stage has them, with time enough for a slow machine.
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -10,7 +10,7 @@
 from typing import get_args
 
 import pytest
-from helpers import settings
+from helpers import S, settings
 from loopback import (
     CLASSES,
     LIMITS,
@@ -26,7 +26,7 @@
 )
 
 from topazbank import balancer
-from topazbank.interface import Action, Event, Refuse, RequestArrived
+from topazbank.interface import Action, Event, Refuse, RequestArrived, ServerState
 from topazbank.net.frontend import ClientConnection, Frontend, Hooks
 
 
@@ -302,19 +302,46 @@
     async def scene() -> None:
         async with world(lambda *_: None) as w:
             reader, writer = await asyncio.open_connection(*w.sidecar.frontend.address)
-            writer.write(request("pay", body=b"first"))
+            writer.write(request("pay", body=b"first", X_Call_Id="one"))
             await until(w.sent)
-            assert (await w.ask(kind="pay", body=b"second"))[0] == 409
+            assert (await w.ask(kind="pay", body=b"second", X_Call_Id="one"))[0] == 409
             w.servers[0].writers[0].write(answer(200, b"the first's"))
             assert (await read_answer(reader))[2] == b"the first's"
             assert [body for _, _, body in w.sent()] == [b"first"]
             w.servers[0].script = served
-            assert (await w.ask(kind="pay"))[0] == 200  # once it is over the id is free
+            # What may run but once was sent, and its client may not have got the answer: not even then.
+            assert (await w.ask(kind="pay", body=b"third", X_Call_Id="one"))[0] == 409
+            assert [body for _, _, body in w.sent()] == [b"first"]
+            for kind, ident in (("pay", "other"), ("look", "safe"), ("look", "safe")):
+                assert (await w.ask(kind=kind, X_Call_Id=ident))[0] == 200
             writer.close()
 
     play(scene())
 
 
+def test_the_id_of_a_request_that_never_went_out_is_free_at_once() -> None:
+    async def scene() -> None:
+        async with world(served) as w:
+            w.servers[0].stop()
+            assert (await w.ask(kind="pay", X_Call_Id="one"))[0] == 503
+            await w.servers[0].start()
+            w.sidecar._upstream.update("s-0", w.servers[0].address, None, ServerState.READY)
+            assert (await w.ask(kind="pay", X_Call_Id="one"))[0] == 200
+
+    play(scene())
+
+
+def test_an_id_is_kept_for_no_longer_than_its_client_could_wait() -> None:
+    async def scene() -> None:
+        classes = [each | {"deadline_us": 1 * S} for each in CLASSES]
+        async with world(served, classes=classes) as w:
+            assert (await w.ask(kind="pay", budget="1.0"))[0] == 200
+            assert w.sidecar._out
+            await until(lambda: not w.sidecar._out)
+
+    play(scene())
+
+
 def test_an_id_that_is_out_is_turned_away_also_where_new_connections_are_refused(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
--- a/topazbank/net/frontend.py
+++ b/topazbank/net/frontend.py
@@ -85,7 +85,7 @@
 
     taken: Callable[[Call], None]
     gone: Callable[[Call], None]
-    is_out: Callable[[str], bool]  # whether a request with this id is unanswered, or an attempt of it out
+    is_out: Callable[[str], bool]  # whether a request with this id is live, or may have run just now
     ready: Callable[[], bool]
 
 
@@ -365,7 +365,7 @@
     def _check_id(self, ident: str) -> None:
         """Neither send on nor call harmless to repeat what may be running already."""
         if self._frontend.hooks.is_out(ident):
-            raise BadRequest(409, "x-call-id is that of another request, which is still out")
+            raise BadRequest(409, "x-call-id is that of another request, which is out or may have run")
 
     def _reject(self, bad: BadRequest) -> None:
         """Turn the request away and end the connection: nothing more is expected of this client."""
--- a/topazbank/net/sidecar.py
+++ b/topazbank/net/sidecar.py
@@ -33,6 +33,7 @@
     Probe,
     ProbeEnded,
     Refuse,
+    Repeat,
     ReportSource,
     RequestArrived,
     RequestGone,
@@ -112,7 +113,7 @@
         self._balancer = Balancer(settings, config.seed)
         self._live: dict[int, Live] = {}
         self._by_call: dict[Call, Live] = {}
-        self._out: set[str] = set()  # the ids that the application gave to what is live
+        self._out: set[str] = set()  # the ids of what is live, and for a while of what may run but once
         self._idents = itertools.count(1)
         self._events: deque[Event] = deque()
         self._handling = False
@@ -280,6 +281,18 @@
     def _forget_if_over(self, live: Live) -> None:
         if live.answered and not live.out:
             self._live.pop(live.ident, None)
+            self._forget_id(live)
+
+    def _forget_id(self, live: Live) -> None:
+        """Let the id of a request be used again; where it may run but once, not before its client gives up.
+
+        Guards against a client whose connection broke under the answer: it may send the same request again.
+        """
+        kind = next(each for each in self._settings.classes if each.name == live.call.service_class)
+        if live.begun and kind.repeat is not Repeat.SAFE:
+            loop = asyncio.get_running_loop()
+            loop.call_later(kind.deadline_us / 1e6, self._out.discard, live.call.ident)
+        else:
             self._out.discard(live.call.ident)
 
     def _refuse(self, action: Refuse) -> None:
