--- a/topazbank/net/sidecar.py
+++ b/topazbank/net/sidecar.py
@@ -33,6 +33,7 @@
     Probe,
     ProbeEnded,
     Refuse,
+    Repeat,
     ReportSource,
     RequestArrived,
     RequestGone,
@@ -87,6 +88,7 @@
     answered: bool = False
     sent: int = 0  # attempts so far
     out: dict[int, Exchange | None] = field(default_factory=dict)  # those that have not ended, by number
+    begun: set[int] = field(default_factory=set)  # those of which a first byte was written
     backstop: asyncio.TimerHandle | None = None
 
 
@@ -111,7 +113,7 @@
         self._balancer = Balancer(settings, config.seed)
         self._live: dict[int, Live] = {}
         self._by_call: dict[Call, Live] = {}
-        self._out: set[str] = set()  # the ids that the application gave to what is live
+        self._out: set[str] = set()  # the ids of what is live, and for a while of what may run but once
         self._idents = itertools.count(1)
         self._events: deque[Event] = deque()
         self._handling = False
@@ -279,6 +281,18 @@
     def _forget_if_over(self, live: Live) -> None:
         if live.answered and not live.out:
             self._live.pop(live.ident, None)
+            self._forget_id(live)
+
+    def _forget_id(self, live: Live) -> None:
+        """Let the id of a request be used again; where it may run but once, not before its client gives up.
+
+        Guards against a client whose connection broke under the answer: it may send the same request again.
+        """
+        kind = next(each for each in self._settings.classes if each.name == live.call.service_class)
+        if live.begun and kind.repeat is not Repeat.SAFE:
+            loop = asyncio.get_running_loop()
+            loop.call_later(kind.deadline_us / 1e6, self._out.discard, live.call.ident)
+        else:
             self._out.discard(live.call.ident)
 
     def _refuse(self, action: Refuse) -> None:
@@ -305,7 +319,7 @@
         live.out[index] = None
         until = self._clock.on_loop(min(action.until or live.answer_by, live.answer_by))
         ended = partial(self._attempt_ended, live, index, action.server, self._clock.now())
-        order = partial(self._order, live)
+        order = partial(self._order, live, index, action.repeat_by)
         try:
             exchange = self._upstream.send(action.server, order, until, ended)
         except Exception:
@@ -313,17 +327,31 @@
             raise
         if index in live.out:
             live.out[index] = exchange
+            if action.repeat_by is not None and not exchange.is_written():
+                at = self._clock.on_loop(action.repeat_by)
+                over = asyncio.get_running_loop().call_at(at, self._repeat_over, live, index)
+                exchange.timers.append(over)
 
-    def _order(self, live: Live, left_s: float) -> bytes | None:
-        """What an attempt sends; nothing where the client has left while its request waited.
+    def _order(self, live: Live, index: int, repeat_by: int | None, left_s: float) -> bytes | None:
+        """What an attempt sends; nothing where that is of no use any more.
 
         Guards servers against work for nobody: a close that nobody has read of yet is news all the same.
+        Guards what runs once, too: as a connection comes up, servers may have forgotten another attempt.
         """
         if live.call.has_left():
             self._gone(live.call)
             return None
+        if repeat_by is not None and live.begun - {index} and self._clock.now() >= repeat_by:
+            return None
+        live.begun.add(index)
         return _request(live.call, left_s)
 
+    def _repeat_over(self, live: Live, index: int) -> None:
+        """Servers begin to forget: an attempt beside others may not be written to its end any more."""
+        attempt = live.out.get(index)
+        if attempt is not None and live.begun - {index}:
+            self._upstream.unsend(attempt)
+
     def _attempt_ended(
         self, live: Live, index: int, server: str, sent_at: int, outcome: Outcome, response: Response | None
     ) -> None:
