Write the last byte of a long request only if it is still wanted then

Seen by reading, forced over loopback. A request of more than the kernel takes at once is written in part, and the rest as the server reads. An attempt begins with its last byte, and that was written without another look: after the client had left, where a busy event loop finds its end and the room to write in the same turn, or after servers had begun to forget the other attempt of a keyed request.

Ruled out: the other places where a request waits; all attempts are begun in Upstream._write, which looks at the client's socket first (accept queue, receive buffer, turn of a key, dial and redraw have their tests in test_crossings.py).

At fault: Connection.request gave all of a request to the transport. Of a long one the last byte is held back now until all before it has gone, and the order is asked once more. test_a_client_leaves_as_its_long_request_is_half_written failed without the mend: the server got it whole.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
 import time
 from collections.abc import Callable
@@ -176,6 +177,43 @@
     play(scene())
 
 
+@pytest.mark.parametrize("left", [True, False])
+def test_a_client_leaves_as_its_long_request_is_half_written(left: bool) -> None:
+    # With the last byte a server begins, and a busy event loop may write it long after the client left.
+    async def scene() -> None:
+        loop = asyncio.get_running_loop()
+        with socket.socket() as listener:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            listener.bind(("127.0.0.1", 0))
+            listener.listen()
+            listener.setblocking(False)
+            servers = Upstream(600.0, 600.0, 10)
+            servers.update("s", listener.getsockname()[:2], None, ServerState.READY)
+            data = message(b"POST / HTTP/1.1", [(b"Content-Length", b"8000000")], bytes(8_000_000))
+            orders = [data, None if left else data]
+            heard: list[Outcome] = []
+            exchange = servers.send("s", lambda _: orders.pop(0), LATER, lambda end, _: heard.append(end))
+            accepted, _ = await loop.sock_accept(listener)
+            with accepted:
+                await until(lambda: exchange.connection is not None)
+                assert not exchange.is_written() and len(orders) == 1
+                got = 0
+                while got < len(data) - left:
+                    got += len(await loop.sock_recv(accepted, 1 << 20))
+                if left:
+                    await until(lambda: heard)
+                    with contextlib.suppress(ConnectionError):
+                        assert await loop.sock_recv(accepted, 10) == b""
+                    assert heard == [Outcome.UNSENT]
+                else:
+                    await loop.sock_sendall(accepted, served())
+                    await until(lambda: heard)
+                    assert heard == [Outcome.DELIVERED]
+            assert orders == []
+
+    play(scene())
+
+
 async def flood(w: World, held: bytes) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
     """Send a request that is held at its server, and then more than is kept."""
     reader, writer = await asyncio.open_connection(*w.sidecar.frontend.address)
--- a/topazbank/net/upstream.py
+++ b/topazbank/net/upstream.py
@@ -29,6 +29,7 @@
 _NOWHERE: Address = ("127.0.0.1", 0)  # of a server that takes nothing new anyway
 BODY_MOST = 64 * 1024  # of an attempt's answer, as the protocol has it
 _REST_PART = 0.12  # of the dial limit: so long a connection rests after an answer before it is used again
+_AT_ONCE = 16 * 1024  # shorter requests the kernel takes whole, as nothing else is on its way on a connection
 _HINTS_MOST = 8  # 1xx answers ahead of the one that counts
 _IDLE_MARGIN = 0.1  # an idle connection is closed this part of its time before the server would
 _STALE = 0.1  # idle connections are stale where this much more of them break on a request than of new ones
@@ -152,6 +153,8 @@
         self._transport: asyncio.Transport | None = None
         self._ended: Callable[[Response | None], None] | None = None
         self._written = False
+        self._last = b""  # the last byte of a long request, held back until all before it has gone
+        self._is_wanted: Callable[[], bool] = lambda: True
         self._head: h11.Response | None = None
         self._body = bytearray()
         self.on_lost: Callable[[], None] = lambda: None
@@ -171,17 +174,37 @@
         open_ = self._transport is not None and not self._transport.is_closing()
         return open_ and self.reusable and self._ended is None and is_quiet(self.sock)
 
-    def request(self, data: bytes, ended: Callable[[Response | None], None]) -> None:
-        """Write a request; `ended` is called once, with the whole answer or with None if it broke."""
-        assert self._transport is not None
+    def request(
+        self,
+        data: bytes,
+        ended: Callable[[Response | None], None],
+        is_wanted: Callable[[], bool] = lambda: True,
+    ) -> None:
+        """Write a request; `ended` is called once, with the whole answer or with None if it broke.
+
+        The last byte of a long one goes only if it `is_wanted` then: with it a server begins.
+        """
         self._ended, self._written, self._hints = ended, False, 0
         self._h11 = _answer_reader()
+        self._last, self._is_wanted = data[:0], is_wanted
+        if len(data) > _AT_ONCE:
+            data, self._last = data[:-1], data[-1:]
+        self._write(data)
+
+    def _write(self, data: bytes) -> None:
+        assert self._transport is not None
         self._transport.write(data)
         # A failed write closes the transport and empties its buffer, with nothing of it sent.
-        self._written = not self._transport.is_closing() and not self._transport.get_write_buffer_size()
+        if not self._transport.is_closing() and not self._transport.get_write_buffer_size():
+            self.resume_writing()
 
     def resume_writing(self) -> None:
-        self._written = self._ended is not None
+        """All so far has gone to the kernel."""
+        last, self._last = self._last, b""
+        if not last:
+            self._written = self._ended is not None
+        elif self._ended is not None and self._is_wanted():
+            self._write(last)
 
     def data_received(self, data: bytes) -> None:
         if self._ended is None:
@@ -390,7 +413,8 @@
         return max(math.frexp(age_s)[1], _AGE_LEAST)
 
 
-# Makes a request when it is written, since it tells the time left; None: nobody waits for it any more.
+# Makes a request when it is written, since it tells the time left; None: nobody waits for it any more.  Asked
+# once more before the last byte of a long one.
 Order = Callable[[float], bytes | None]
 Ended = Callable[[Outcome, Response | None], None]
 
@@ -633,7 +657,17 @@
             exchange.end(Outcome.UNSENT)
             return
         exchange.connection, exchange.written_at = connection, now
-        connection.request(data, partial(self._answered, exchange, connection))
+        connection.request(
+            data, partial(self._answered, exchange, connection), partial(self._is_wanted, exchange)
+        )
+
+    @staticmethod
+    def _is_wanted(exchange: Exchange) -> bool:
+        """Whether a long request may be written to its end, as its order tells; else it is given up."""
+        left_s = exchange.until - asyncio.get_running_loop().time()
+        if exchange.order(max(left_s, 0.0)) is None:
+            exchange.end(Outcome.UNSENT)
+        return exchange.ended is not None
 
     def _answered(self, exchange: Exchange, connection: Connection, response: Response | None) -> None:
         self._put_back(exchange, connection)
