Where all servers are cold, hold each to what one bore while any was warm

Ruled out: the whole request that each balancer may save up, by itself: with a warm server left, or with all fourteen cold at once, the sum stayed under half of the bound, also where all balancers' requests come at the same instants.

At fault: Balancer._bearable_by_mean judged, with no warm server left, what one bears by what is asked for, shared among those that are left: fourteen times too much here. What a warm one served while there was any bounds it now; it is worked out before a list takes the last one away.

--- a/topazbank/balancer.py
+++ b/topazbank/balancer.py
@@ -273,6 +273,7 @@
         self._bearable = 0.0  # what a warm server of mean size serves for this balancer, as of _bearable_at
         self._mean_size = 1.0
         self._bearable_at = -1
+        self._borne = math.inf  # the same, when any were warm last; all may be cold by now
         self._answers = 0  # answers so far, from all servers
         self._extra = EXTRA_PER_REQUEST * EXTRA_SAVED / 2
         self._longest_try: dict[str, int] = {}  # the most time left that a request of a class came with
@@ -374,6 +375,7 @@
         if event.kind is ListKind.FAILED:
             self._ask_again_later()
             return
+        self._bearable_by_mean()  # all that are warm may be leaving
         if event.kind is not ListKind.REMEMBERED:
             self._failed_calls = 0
             self._ask_due = None
@@ -482,10 +484,7 @@
     # -- Order: where a class asks for it, requests with one key run one at a time --------------------
 
     def _line_up(self, request: Request, key: int) -> None:
-        queue = self._queues.get(key)
-        if queue is None:
-            queue = self._queues[key] = Queue(key)
-        request.queue = queue
+        request.queue = queue = self._queues.setdefault(key, Queue(key))
         queue.requests.append(request)
         self._moved.append(queue)
 
@@ -604,9 +603,8 @@
         what fails late.  As the window fills, the part let in falls by powers, sooner for the less worthy.
         """
         kind = request.kind
-        mine = self._mix.get((kind.name, tenant))
-        if mine is None:
-            mine = self._mix[(kind.name, tenant)] = Mix(kind, tenant, Rate(MIX_AIMS * self._longest_aim))
+        fresh = Mix(kind, tenant, Rate(MIX_AIMS * self._longest_aim))
+        mine = self._mix.setdefault((kind.name, tenant), fresh)
         mine.rate.add(self._now, 1.0)
         if self._probes > 1:
             request.standing = self._standing(mine)
@@ -1212,7 +1210,9 @@
             warm = [each for each in self._ready if not self._is_cold(each)]
             peers = warm or self._ready  # ejected ones too: they served a part of what is counted
             served = self._served_warm if warm else self._arrivals
-            self._bearable = served.per_us(self._now) / max(min(len(peers), self._reach()), 1)
+            share = served.per_us(self._now) / max(min(len(peers), self._reach()), 1)
+            self._borne = share if warm else self._borne
+            self._bearable = min(share, self._borne)  # of the few left more may be asked
             self._mean_size = sum(each.nominal for each in peers) / max(len(peers), 1)
         return self._bearable
 
