Make room for a connection only as one waits, and take it once its descriptor is free

At a limit of 256 a sidecar with no connection to a server held up to 168 descriptors for its 96 clients (393 to 552 for 480 at 1,024); with its 96 connections to servers that is more than the limit.

Ruled out: connections to servers; a dial's socket is made a turn of the loop after the idle one that made room for it was closed. Discovery's calls: three at most.

At fault: Frontend._accept took 64 connections in one turn and ended as many others for them, whose descriptors are closed only in the next turn; and once the table was just full it made room before it knew that another one had come, so that the oldest of those that had said nothing yet was closed for nobody. It looks whether one waits now, and goes on in the next turn once it has made room.

Both new tests failed without the mend.

--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import errno
+import os
 import socket
 import time
 from typing import get_args
@@ -491,3 +492,55 @@
             assert (await w.ask(X_Call_Id="after"))[0] == 200
 
     play(scene())
+
+
+def test_room_is_made_only_where_a_connection_waits() -> None:
+    # What fills the table is no reason to close what was just opened: no further connection has come.
+    async def scene() -> None:
+        async with world(served, sockets=80) as w:
+            frontend = w.sidecar.frontend
+            assert frontend._most == 8
+            await until(lambda: frontend._accepting)
+            frontend._pause()
+            clients = [socket.create_connection(frontend.address) for _ in range(8)]
+            assert frontend._accept()
+            await until(lambda: len(frontend.connections) == 8)
+            assert frontend._accept()
+            for index, sock in enumerate(clients):
+                sock.setblocking(False)
+                reader, writer = await asyncio.open_connection(sock=sock)
+                writer.write(request(X_Call_Id=f"{index}"))
+                assert (await read_answer(reader))[0] == 200
+                writer.close()
+
+    play(scene())
+
+
+def test_room_for_many_holds_no_more_descriptors_than_the_table() -> None:
+    # A connection that was ended for another one holds its descriptor until the loop's next turn.
+    async def scene() -> None:
+        async with world(served, sockets=256) as w:
+            frontend = w.sidecar.frontend
+            await until(lambda: frontend._accepting)
+            clients = [socket.create_connection(frontend.address) for _ in range(frontend._most)]
+            await until(lambda: len(frontend.connections) == frontend._most)
+            clients += [socket.create_connection(frontend.address) for _ in range(40)]
+            held = []
+            accept = frontend._accept
+
+            def noted(at_once: int = 64) -> bool:
+                done = accept(at_once)
+                held.append(len(os.listdir("/proc/self/fd")))
+                return done
+
+            before = len(os.listdir("/proc/self/fd"))
+            frontend._pause()
+            frontend._accept = noted  # type: ignore[method-assign]
+            frontend._accept_again()
+            former = set(frontend.connections)
+            await until(lambda: len(set(frontend.connections) - former) == 40)
+            assert max(held) <= before + 1
+            for each in clients:
+                each.close()
+
+    play(scene())
--- a/topazbank/net/frontend.py
+++ b/topazbank/net/frontend.py
@@ -6,6 +6,7 @@
 import contextlib
 import logging
 import re
+import select
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -469,10 +470,13 @@
     def _accept(self, at_once: int = _ACCEPTED_AT_ONCE) -> bool:
         """Take the connections that wait; say whether none is left."""
         for _ in range(at_once):
-            if self._count() >= self._most and not self._make_room():
-                self._pause()
-                asyncio.get_running_loop().call_later(_ACCEPT_PAUSE_S, self._accept_again)
-                return False
+            if self._count() >= self._most:
+                if not self._is_one_waiting():
+                    return True
+                if not self._make_room():
+                    self._pause()
+                    asyncio.get_running_loop().call_later(_ACCEPT_PAUSE_S, self._accept_again)
+                return False  # what made room holds its descriptor until the next turn of the loop
             try:
                 sock, _ = self._sock.accept()
             except BlockingIOError:
@@ -494,6 +498,11 @@
             task.add_done_callback(self._starting.discard)
         return False
 
+    def _is_one_waiting(self) -> bool:
+        look = select.poll()
+        look.register(self._sock, select.POLLIN)
+        return bool(look.poll(0))
+
     async def _begin(self, sock: socket.socket, turned_away: bool) -> None:
         with contextlib.suppress(OSError):
             loop = asyncio.get_running_loop()
