Count a connection that is being made once

Seen by test_idle_clients_fill_the_descriptors_while_discovery_is_down: with the table nearly full, some of eight connections opened together were closed with no answer, though there was room for all.

At fault: Frontend._count added the tasks that make connections to the connections made, and a task ends two turns of the loop after its connection is made. It counts the sockets that are accepted and not made yet now.

test_a_connection_that_is_being_made_counts_once failed without the mend for two and three turns.

--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -544,3 +544,30 @@
                 each.close()
 
     play(scene())
+
+
+@pytest.mark.parametrize("turns", range(6))
+def test_a_connection_that_is_being_made_counts_once(turns: int) -> None:
+    # Counted twice for a few turns of the loop, it closed others that had only just been opened.
+    async def scene() -> None:
+        async with world(served, sockets=80) as w:
+            frontend = w.sidecar.frontend
+            assert frontend._most == 8
+            await until(lambda: frontend._accepting)
+            frontend._pause()
+            clients = []
+            for count in (5, 3):
+                for _ in range(count):
+                    sock = socket.create_connection(frontend.address)
+                    sock.setblocking(False)
+                    clients.append(sock)
+                assert frontend._accept()
+                for _ in range(turns):
+                    await asyncio.sleep(0)
+            for index, sock in enumerate(clients):
+                reader, writer = await asyncio.open_connection(sock=sock)
+                writer.write(request(X_Call_Id=f"{index}"))
+                assert (await read_answer(reader))[0] == 200
+                writer.close()
+
+    play(scene())
--- a/tests/test_life.py
+++ b/tests/test_life.py
@@ -7,9 +7,11 @@
 import json
 import logging
 import os
+import resource
 import signal
+import socket
 import sys
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterator
 from functools import partial
 from pathlib import Path
 from typing import Any
@@ -51,9 +53,14 @@
     return given | {"known": known, "settings": SETTINGS} | changes
 
 
-async def launch(path: Path, given: object) -> asyncio.subprocess.Process:
+async def launch(path: Path, given: object, descriptors: int | None = None) -> asyncio.subprocess.Process:
     path.write_text(given if isinstance(given, str) else json.dumps(given), encoding="utf-8")
     environ = {name: value for name, value in os.environ.items() if not name.startswith("RELAY_")}
+
+    def limit() -> None:
+        if descriptors is not None:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (descriptors, descriptors))
+
     return await asyncio.create_subprocess_exec(
         sys.executable,
         "-m",
@@ -61,6 +68,7 @@
         cwd=ROOT,
         env=environ | {"RELAY_CONFIG": str(path)},
         stderr=asyncio.subprocess.PIPE,
+        preexec_fn=limit,
     )
 
 
@@ -97,11 +105,17 @@
 
 @contextlib.asynccontextmanager
 async def program(
-    tmp_path: Path, server: FakeServer, discovery: FakeDiscovery | None = None
+    tmp_path: Path,
+    server: FakeServer,
+    discovery: FakeDiscovery | None = None,
+    is_up: bool = True,
+    descriptors: int | None = None,
 ) -> AsyncIterator[tuple[Any, Address]]:
-    """The program, ready, with one server behind it."""
+    """The program, ready, with one server behind it; discovery `is_up` or refuses."""
     discovery = discovery or FakeDiscovery()
     await discovery.start()
+    if not is_up:
+        discovery.stop()
     await server.start()
     known = {"index": 1, "snapshot": True, "endpoints": [server.entry()]}
     where = "{}:{}".format(*discovery.address)
@@ -109,9 +123,10 @@
     free = await asyncio.start_server(lambda reader, writer: None, "127.0.0.1", 0)
     listen: Address = free.sockets[0].getsockname()[:2]
     free.close()
-    process = await launch(
-        tmp_path / "config.json", config(listen="{}:{}".format(*listen), discovery=where, known=known)
-    )
+    given = config(listen="{}:{}".format(*listen), discovery=where, known=known)
+    if descriptors is not None:
+        given["limits"] = {"sockets": descriptors}
+    process = await launch(tmp_path / "config.json", given, descriptors)
     try:
         async with asyncio.timeout(PATIENCE_S):
             while True:
@@ -264,3 +279,69 @@
             await until(lambda: w.sidecar._is_ready())
 
     play(scene())
+
+
+@pytest.fixture
+def many_descriptors() -> Iterator[None]:
+    """Let this process hold more than the program under test."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
+    yield
+    resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+
+
+def opened(address: Address, count: int) -> list[socket.socket]:
+    """Connections that say nothing, all asked for at once."""
+    idle = []
+    for _ in range(count):
+        each = socket.socket()
+        each.setblocking(False)
+        each.connect_ex(address)
+        idle.append(each)
+    return idle
+
+
+@pytest.mark.usefixtures("many_descriptors")
+@pytest.mark.parametrize("descriptors", [256, 1024])
+def test_idle_clients_fill_the_descriptors_while_discovery_is_down(descriptors: int, tmp_path: Path) -> None:
+    most = (descriptors - sidecar._FDS_KEPT) // 2  # clients, and as many connections to servers
+
+    async def scene() -> None:
+        server, down = FakeServer("s-0", lambda *_: None), FakeDiscovery()
+        async with program(tmp_path, server, down, is_up=False, descriptors=descriptors) as (process, listen):
+            held: list[asyncio.Task[Any]] = []
+
+            def all_there_or_refused() -> bool:
+                return len(server.requests) + sum(each.done() for each in held) == len(held)
+
+            while more := min(
+                8, most - len(server.requests)
+            ):  # so few, and again what a slow machine refuses
+                data = [request("pay", X_Call_Id=f"{len(held) + n}", budget="500") for n in range(more)]
+                held += [asyncio.create_task(ask(listen, each)) for each in data]
+                await until(all_there_or_refused)
+            server.script = lambda *_: answer(200, b"served")
+            for each in server.writers:
+                each.write(answer(200, b"served"))  # so that each leaves a connection behind
+            statuses = [(await each)[0] for each in held]
+            assert statuses.count(200) == most
+            idle = []
+            for _ in range(4):
+                idle += opened(listen, 400)
+                assert (await ask(listen, request(path="/health/ready")))[0] == 200  # it came behind them
+            down._server = await asyncio.start_server(down._serve, *down.address)
+            await until(lambda: down.targets)
+            other = FakeServer("s-1", lambda *_: answer(200, b"other"))
+            await other.start()
+            down.say(2, [server.entry(status="left"), other.entry()])
+            await until(lambda: down.called(2))
+            assert (await ask(listen, request("pay")))[2] == b"other"  # on a new connection
+            assert (await ask(listen, request(path="/health/ready")))[0] == 200
+            process.kill()
+            _, err = await process.communicate()
+            assert b"Errno 24" not in err and b"to spare" not in err
+            for client in idle:
+                client.close()
+            other.stop()
+
+    play(scene())
--- a/topazbank/net/frontend.py
+++ b/topazbank/net/frontend.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import logging
 import re
 import select
@@ -208,7 +207,7 @@
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         transport.set_write_buffer_limits(high=0)
-        self._frontend.opened(self)
+        self._frontend.made(self, self._sock)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._frontend.lost(self)
@@ -444,6 +443,7 @@
         self._most_busy = float(most)  # connections that may carry requests: fewer while all is late
         self._sweep_due = 0.0
         self._accepting = False
+        self._accepted: set[socket.socket] = set()  # whose connections are not made yet
         self._starting: set[asyncio.Task[None]] = set()
         self._sock = socket.create_server(address, backlog=_BACKLOG)
         self._sock.setblocking(False)
@@ -494,6 +494,7 @@
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             task = asyncio.get_running_loop().create_task(self._begin(sock, self._is_swamped()))
+            self._accepted.add(sock)
             self._starting.add(task)
             task.add_done_callback(self._starting.discard)
         return False
@@ -504,12 +505,19 @@
         return bool(look.poll(0))
 
     async def _begin(self, sock: socket.socket, turned_away: bool) -> None:
-        with contextlib.suppress(OSError):
+        try:
             loop = asyncio.get_running_loop()
             await loop.connect_accepted_socket(lambda: ClientConnection(self, sock, turned_away), sock)
+        except OSError:
+            self._accepted.discard(sock)
+
+    def made(self, connection: ClientConnection, sock: socket.socket) -> None:
+        """An accepted connection counts by its phase from now on."""
+        self._accepted.discard(sock)
+        self.opened(connection)
 
     def _count(self) -> int:
-        return sum(map(len, self._phases.values())) + len(self._starting)
+        return sum(map(len, self._phases.values())) + len(self._accepted)
 
     def _make_room(self) -> bool:
         """End a connection that holds no request.
