Force a client's leave against its probes' answers, and a restart with a thousand servers

The first fails without the look at the client's socket in Sidecar._order; the second bounds what the CPU and memory of a start come to: ready on a tenth of a core within 10 s, and under 32 MB, with discovery down at first and 1,024 servers listed.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -11,6 +11,7 @@
 import socket
 import time
 from collections.abc import Callable
+from typing import Any
 
 import pytest
 from helpers import S
@@ -214,6 +215,35 @@
     play(scene())
 
 
+def test_a_client_leaves_as_its_request_waits_for_probes() -> None:
+    report = {"source": "probes", "columns": ["inflight"]}
+
+    def holds_probes(first: str, *_: object) -> bytes | None:
+        return None if "/stats" in first else served()
+
+    async def scene() -> None:
+        # Held longer than the test takes, so that the probes' answers alone settle it.
+        classes = [each | {"deadline_us": 600 * S, "aim_us": 600 * S} for each in CLASSES]
+        limits = LIMITS | {"may_probe": True, "dial_timeout_us": 600 * S}
+        changes: dict[str, Any] = {"classes": classes, "limits": limits, "prices": {"probe": 0.001}}
+        async with world(holds_probes, holds_probes, report=report, **changes) as w:
+            for leaves in (False, True):
+                for each in w.servers:
+                    each.requests.clear()
+                client = Client(w.sidecar.frontend.address, request(budget="500", X_Call_Id=f"{leaves}"))
+                await until(lambda: len(w.sent()) == 2)
+                if leaves:
+                    client.leave()
+                for each in w.servers:  # all of this is there when the event loop looks next
+                    each.writers[-1].write(answer(200, b'{"inflight": 1}'))
+                await until(lambda: not w.sidecar._live)
+                begun = [first for first, _, _ in w.sent() if "/stats" not in first]
+                assert len(begun) == (not leaves)
+                client.close()
+
+    play(scene())
+
+
 async def flood(w: World, held: bytes) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
     """Send a request that is held at its server, and then more than is kept."""
     reader, writer = await asyncio.open_connection(*w.sidecar.frontend.address)
--- a/tests/test_life.py
+++ b/tests/test_life.py
@@ -11,7 +11,7 @@
 import signal
 import socket
 import sys
-from collections.abc import AsyncIterator, Iterator
+from collections.abc import AsyncIterator, Iterator, Sequence
 from functools import partial
 from pathlib import Path
 from typing import Any
@@ -110,6 +110,7 @@
     discovery: FakeDiscovery | None = None,
     is_up: bool = True,
     descriptors: int | None = None,
+    listed: Sequence[str] = (),
 ) -> AsyncIterator[tuple[Any, Address]]:
     """The program, ready, with one server behind it; discovery `is_up` or refuses."""
     discovery = discovery or FakeDiscovery()
@@ -117,7 +118,8 @@
     if not is_up:
         discovery.stop()
     await server.start()
-    known = {"index": 1, "snapshot": True, "endpoints": [server.entry()]}
+    others = [server.entry(name=each, address=each) for each in listed]
+    known = {"index": 1, "snapshot": True, "endpoints": [server.entry(), *others]}
     where = "{}:{}".format(*discovery.address)
     # Port 0 is no address to be told, so a free one is picked and given back just before.
     free = await asyncio.start_server(lambda reader, writer: None, "127.0.0.1", 0)
@@ -345,3 +347,28 @@
             other.stop()
 
     play(scene())
+
+
+def test_a_restart_with_a_thousand_servers_is_ready_in_time_while_discovery_is_down(tmp_path: Path) -> None:
+    # Nine in ten have to be ready within 10 s, on a part of a core and in 32 MB.
+    async def scene() -> None:
+        server, down = FakeServer("s-0", lambda *_: answer(200, b"served")), FakeDiscovery()
+        listed = [f"127.1.{index // 250}.{index % 250 + 1}:9" for index in range(1023)]
+        async with program(tmp_path, server, down, is_up=False, listed=listed) as (process, listen):
+            spent = (Path("/proc") / str(process.pid) / "stat").read_text().rpartition(")")[2].split()
+            cpu_s = (int(spent[11]) + int(spent[12])) / os.sysconf("SC_CLK_TCK")
+            assert cpu_s / 0.1 + sidecar._SETTLED_BY_S < 10.0  # on a tenth of a core
+            down._server = await asyncio.start_server(down._serve, *down.address)
+            await until(lambda: down.targets)
+            entries = [server.entry(), *(server.entry(name=each, address=each) for each in listed)]
+            down.say(2, entries, snapshot=True)
+            await until(lambda: down.called(2))
+            leaving = [each | {"status": "leaving"} for each in entries[1:]]
+            down.say(3, leaving)
+            await until(lambda: down.called(3))
+            assert (await ask(listen, request("pay")))[2] == b"served"  # of all, the one that is left
+            status = (Path("/proc") / str(process.pid) / "status").read_text()
+            (peak,) = [line for line in status.splitlines() if line.startswith("VmHWM")]
+            assert int(peak.split()[1]) < 32 * 1024  # kB
+
+    play(scene())
