End an attempt's sending before the next one is written

A transport that is aborted closes its socket in the event loop's next turn. The end of a given-up attempt decides on the next one in the same turn, and on an idle connection that is written at once: for that moment two copies were out.

Ruled out: attempts that end by their connection (it is closed by then) or by an answer.

At fault: Exchange.end gave an attempt up by Connection.abort alone. It ends the sending first now, which the protocol takes as giving up. test_an_attempt_that_is_given_up_is_out_no_more_as_the_next_one_is_written failed without the mend.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -35,7 +35,16 @@
 from topazbank.net import sidecar, upstream
 from topazbank.net.discovery import Discovery, Told, parse_list
 from topazbank.net.frontend import _LIMITS_S, Phase
-from topazbank.net.upstream import Address, Connection, Exchange, Response, Upstream, judge, message
+from topazbank.net.upstream import (
+    Address,
+    Connection,
+    Exchange,
+    Response,
+    Upstream,
+    has_ended,
+    judge,
+    message,
+)
 
 LATER = time.monotonic() + 3600.0  # as the event loop counts
 _FIN_WAIT2 = 5  # as TCP_INFO tells it: the other side's kernel has the end
@@ -514,6 +523,20 @@
     play(scene())
 
 
+def test_an_attempt_that_is_given_up_is_out_no_more_as_the_next_one_is_written() -> None:
+    # Guards rule 2 where second copies are not allowed: the end of one decides on the next in the same turn.
+    async def scene() -> None:
+        server = FakeServer("s", hung)
+        upstream, exchange, _, heard = await written(server)
+        upstream.cancel(exchange)
+        assert heard == [Outcome.CANCELLED]
+        # The event loop has had no turn since.
+        assert has_ended(server.writers[0].get_extra_info("socket"))
+        server.stop()
+
+    play(scene())
+
+
 def test_an_idle_connection_s_time_is_up_as_the_next_request_takes_it() -> None:
     async def scene() -> None:
         server = FakeServer("s", served)
--- a/topazbank/net/upstream.py
+++ b/topazbank/net/upstream.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import logging
 import math
@@ -311,6 +312,15 @@
             self._stall.cancel()
             self._stall = None
 
+    def give_up(self) -> None:
+        """Close, and end the sending before this returns: the transport closes in the loop's next turn only.
+
+        Guards the rule that one copy is out at a time: another may be written before that turn.
+        """
+        with contextlib.suppress(OSError):  # it has broken already
+            self.sock.shutdown(socket.SHUT_WR)
+        self.abort()
+
     def abort(self) -> None:
         """Close at once; what is not written yet never will be."""
         self.reusable = False
@@ -448,7 +458,7 @@
         self.endpoint.dialling.discard(self)
         if outcome in (Outcome.EXPIRED, Outcome.CANCELLED, Outcome.DIAL_FAILED, Outcome.UNSENT):
             if self.connection is not None:
-                self.connection.abort()  # this is how an attempt is given up
+                self.connection.give_up()
             if self.dial is not None:
                 self.dial.cancel()
         ended(outcome, response)
