--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -11,6 +11,7 @@
 import socket
 import time
 from collections.abc import Callable
+from typing import Any
 
 import pytest
 from helpers import S
@@ -34,7 +35,16 @@
 from topazbank.net import sidecar, upstream
 from topazbank.net.discovery import Discovery, Told, parse_list
 from topazbank.net.frontend import _LIMITS_S, Phase
-from topazbank.net.upstream import Address, Connection, Exchange, Response, Upstream, judge, message
+from topazbank.net.upstream import (
+    Address,
+    Connection,
+    Exchange,
+    Response,
+    Upstream,
+    has_ended,
+    judge,
+    message,
+)
 
 LATER = time.monotonic() + 3600.0  # as the event loop counts
 _FIN_WAIT2 = 5  # as TCP_INFO tells it: the other side's kernel has the end
@@ -214,6 +224,45 @@
     play(scene())
 
 
+def test_a_client_leaves_as_its_request_waits_for_probes(monkeypatch: pytest.MonkeyPatch) -> None:
+    made: list[Connection] = []
+    connect = upstream.connect
+
+    async def noted(*given: object) -> Connection:
+        made.append(await connect(*given))  # type: ignore[arg-type]
+        return made[-1]
+
+    monkeypatch.setattr(upstream, "connect", noted)
+    report = {"source": "probes", "columns": ["inflight"]}
+
+    def holds_probes(first: str, *_: object) -> bytes | None:
+        return None if "/stats" in first else served()
+
+    async def scene() -> None:
+        # Held longer than the test takes, so that the probes' answers alone settle it.
+        classes = [each | {"deadline_us": 600 * S, "aim_us": 600 * S} for each in CLASSES]
+        limits = LIMITS | {"may_probe": True, "dial_timeout_us": 600 * S}
+        changes: dict[str, Any] = {"classes": classes, "limits": limits, "prices": {"probe": 0.001}}
+        async with world(holds_probes, holds_probes, report=report, **changes) as w:
+            w.sidecar._upstream._rest_s = 0.0  # what was probed is written at once
+            for leaves in (False, True):
+                for each in w.servers:
+                    each.requests.clear()
+                client = Client(w.sidecar.frontend.address, request(budget="500", X_Call_Id=f"{leaves}"))
+                await until(lambda: len(w.sent()) == 2)
+                if leaves:
+                    client.leave()
+                for probed in made:
+                    if not probed.is_idle() and probed.written:  # read before the client's end
+                        probed.data_received(answer(200, b'{"inflight": 1}'))
+                await until(lambda: not w.sidecar._live)
+                begun = [first for first, _, _ in w.sent() if "/stats" not in first]
+                assert len(begun) == (not leaves)
+                client.close()
+
+    play(scene())
+
+
 async def flood(w: World, held: bytes) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
     """Send a request that is held at its server, and then more than is kept."""
     reader, writer = await asyncio.open_connection(*w.sidecar.frontend.address)
@@ -474,6 +523,20 @@
     play(scene())
 
 
+def test_an_attempt_that_is_given_up_is_out_no_more_as_the_next_one_is_written() -> None:
+    # Guards rule 2 where second copies are not allowed: the end of one decides on the next in the same turn.
+    async def scene() -> None:
+        server = FakeServer("s", hung)
+        upstream, exchange, _, heard = await written(server)
+        upstream.cancel(exchange)
+        assert heard == [Outcome.CANCELLED]
+        # The event loop has had no turn since.
+        assert has_ended(server.writers[0].get_extra_info("socket"))
+        server.stop()
+
+    play(scene())
+
+
 def test_an_idle_connection_s_time_is_up_as_the_next_request_takes_it() -> None:
     async def scene() -> None:
         server = FakeServer("s", served)
