--- a/topazbank/balancer.py
+++ b/topazbank/balancer.py
@@ -67,6 +67,7 @@
 COLD_SHARE = 0.15  # part of the pushing-over load at which a cold budget fills: its true size is not told
 COLD_BURST = 0.18  # part of that load that may come at once
 RATE_SPANS = 2.0  # rates are averaged over this many fall times
+TOLD_US = 6_000_000  # after a failed call changes count as told so soon, whatever the settings allow
 ASK_AGAIN = 0.05  # first wait before asking discovery again, of the time allowed without asking
 ASK_AGAIN_MOST = 0.25  # and the longest: three failed calls in a row still fit
 REMOTE_LEAST = 0.25  # odds of a server in another zone while the own zone is as quick
@@ -272,6 +273,7 @@
         self._bearable = 0.0  # what a warm server of mean size serves for this balancer, as of _bearable_at
         self._mean_size = 1.0
         self._bearable_at = -1
+        self._borne = math.inf  # the same, when any were warm last; all may be cold by now
         self._answers = 0  # answers so far, from all servers
         self._extra = EXTRA_PER_REQUEST * EXTRA_SAVED / 2
         self._longest_try: dict[str, int] = {}  # the most time left that a request of a class came with
@@ -356,24 +358,24 @@
         """
         if self._settings.discovery is Discovery.ON_REQUEST:
             self._actions.append(Follow(True))
-            self._ask_in(ASK_AGAIN_MOST * self._settings.rules.ask_within_us)
+            self._ask_in(ASK_AGAIN_MOST)
 
-    def _ask_in(self, wait: float) -> None:
-        """Ask after this wait, in place of any earlier plan."""
-        self._ask_due = self._now + int(wait)
+    def _ask_in(self, part: float) -> None:
+        """Ask after this part of the time that may pass unheard, in place of any earlier plan."""
+        self._ask_due = self._now + int(part * min(self._settings.rules.ask_within_us, TOLD_US))
         self._schedule(self._ask_due, _ASK, _WHOLE)
 
     def _ask_again_later(self) -> None:
         """After a failed call: wait twice as long each time, with jitter, so that instances spread out."""
-        allowed = self._settings.rules.ask_within_us
-        wait = min(ASK_AGAIN * allowed * 2**self._failed_calls, ASK_AGAIN_MOST * allowed)
+        part = min(ASK_AGAIN * 2**self._failed_calls, ASK_AGAIN_MOST)
         self._failed_calls = min(self._failed_calls + 1, 8)
-        self._ask_in(wait * (0.5 + 0.5 * self._random.random()))
+        self._ask_in(part * (0.5 + 0.5 * self._random.random()))
 
     def _servers_listed(self, event: ServersListed) -> None:
         if event.kind is ListKind.FAILED:
             self._ask_again_later()
             return
+        self._bearable_by_mean()  # all that are warm may be leaving
         if event.kind is not ListKind.REMEMBERED:
             self._failed_calls = 0
             self._ask_due = None
@@ -482,10 +484,7 @@
     # -- Order: where a class asks for it, requests with one key run one at a time --------------------
 
     def _line_up(self, request: Request, key: int) -> None:
-        queue = self._queues.get(key)
-        if queue is None:
-            queue = self._queues[key] = Queue(key)
-        request.queue = queue
+        request.queue = queue = self._queues.setdefault(key, Queue(key))
         queue.requests.append(request)
         self._moved.append(queue)
 
@@ -604,9 +603,8 @@
         what fails late.  As the window fills, the part let in falls by powers, sooner for the less worthy.
         """
         kind = request.kind
-        mine = self._mix.get((kind.name, tenant))
-        if mine is None:
-            mine = self._mix[(kind.name, tenant)] = Mix(kind, tenant, Rate(MIX_AIMS * self._longest_aim))
+        fresh = Mix(kind, tenant, Rate(MIX_AIMS * self._longest_aim))
+        mine = self._mix.setdefault((kind.name, tenant), fresh)
         mine.rate.add(self._now, 1.0)
         if self._probes > 1:
             request.standing = self._standing(mine)
@@ -1212,7 +1210,9 @@
             warm = [each for each in self._ready if not self._is_cold(each)]
             peers = warm or self._ready  # ejected ones too: they served a part of what is counted
             served = self._served_warm if warm else self._arrivals
-            self._bearable = served.per_us(self._now) / max(min(len(peers), self._reach()), 1)
+            share = served.per_us(self._now) / max(min(len(peers), self._reach()), 1)
+            self._borne = share if warm else self._borne
+            self._bearable = min(share, self._borne)  # of the few left more may be asked
             self._mean_size = sum(each.nominal for each in peers) / max(len(peers), 1)
         return self._bearable
 
