--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -9,13 +9,13 @@
 from topazbank.interface import (
     Action,
     AttemptEnded,
+    Endpoint,
     Event,
-    ListedServer,
-    ListKind,
     Outcome,
+    RegistryUpdated,
+    RegistryUpdateKind,
     RequestArrived,
     Send,
-    ServersListed,
     ServerState,
     SetTimer,
     TimerFired,
@@ -25,16 +25,28 @@
 S = 1_000_000
 START = 50 * S
 
-SAFE = {"name": "look", "deadline_us": 2 * S, "aim_us": 500 * MS, "worth": 1, "repeat": "safe"}
-UNSAFE = {"name": "pay", "deadline_us": 2 * S, "aim_us": 500 * MS, "worth": 10, "repeat": "unsafe"}
+SAFE = {
+    "name": "look",
+    "deadline_us": 2 * S,
+    "latency_target_us": 500 * MS,
+    "worth": 1,
+    "idempotency": "safe",
+}
+UNSAFE = {
+    "name": "pay",
+    "deadline_us": 2 * S,
+    "latency_target_us": 500 * MS,
+    "worth": 10,
+    "idempotency": "unsafe",
+}
 KEYED = {
     "name": "amend",
     "deadline_us": 4 * S,
-    "aim_us": 500 * MS,
+    "latency_target_us": 500 * MS,
     "worth": 3,
-    "repeat": "keyed",
-    "group": "cell",
-    "memory_us": 2 * S,
+    "idempotency": "keyed",
+    "dedup_scope": "cell",
+    "dedup_window_us": 2 * S,
 }
 
 _Kind = TypeVar("_Kind")
@@ -46,13 +58,13 @@
         "classes": [SAFE, UNSAFE, KEYED],
         "zone": "east",
         "tick_us": 5 * MS,
-        "limits": {"max_attempts": 5, "second_copies": True, "may_cancel": True},
+        "limits": {"max_attempts": 5, "allow_hedging": True, "allow_cancel": True},
         "rules": {
-            "cold_from": 0.2,
-            "cold_us": 10 * S,
+            "slow_start_from": 0.2,
+            "slow_start_us": 10 * S,
             "drain_grace_us": 500 * MS,
-            "fall_multiple": 3,
-            "fall_us": 2 * S,
+            "overload_multiple": 3,
+            "overload_window_us": 2 * S,
             "ask_within_us": 10 * S,
         },
     }
@@ -84,13 +96,13 @@
         return actions
 
     def servers(
-        self, listed: Iterable[str | ListedServer], kind: ListKind = ListKind.COMPLETE
+        self, listed: Iterable[str | Endpoint], kind: RegistryUpdateKind = RegistryUpdateKind.SNAPSHOT
     ) -> list[Action]:
-        lines = [ListedServer(each, zone="east") if isinstance(each, str) else each for each in listed]
-        return self.play(ServersListed(kind, lines, 1))
+        lines = [Endpoint(each, zone="east") if isinstance(each, str) else each for each in listed]
+        return self.play(RegistryUpdated(kind, lines, 1))
 
     def drain(self, server: str, state: ServerState = ServerState.DRAINING) -> list[Action]:
-        return self.servers([ListedServer(server, zone="east", state=state)], ListKind.CHANGES)
+        return self.servers([Endpoint(server, zone="east", state=state)], RegistryUpdateKind.DELTA)
 
     def request(
         self,
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -12,7 +12,7 @@
 
 from helpers import KEYED, SAFE, UNSAFE, S, settings
 
-from topazbank.net.discovery import parse_list
+from topazbank.net.discovery import parse_registry
 from topazbank.net.sidecar import Config, Sidecar
 from topazbank.net.upstream import Address
 
@@ -182,7 +182,7 @@
 
 # As the stage has them, with time enough for a slow machine.
 CLASSES = [each | {"deadline_us": 600 * S} for each in (SAFE, UNSAFE, KEYED)]
-LIMITS = {"max_attempts": 3, "second_copies": False, "may_cancel": True}
+LIMITS = {"max_attempts": 3, "allow_hedging": False, "allow_cancel": True}
 
 
 @contextlib.asynccontextmanager
@@ -200,7 +200,7 @@
         await server.start()
     await discovery.start()
     given = settings(**{"classes": CLASSES, "limits": LIMITS, **changes})
-    known = parse_list({"index": 41, "snapshot": True, "endpoints": [each.entry() for each in servers]})
+    known = parse_registry({"index": 41, "snapshot": True, "endpoints": [each.entry() for each in servers]})
     made = World(
         Sidecar(Config(("127.0.0.1", 0), discovery.address, 7, sockets, given, known)), servers, discovery
     )
--- a/tests/test_any_sequence.py
+++ b/tests/test_any_sequence.py
@@ -13,19 +13,19 @@
 from topazbank.interface import AttemptEnded as Ended
 from topazbank.interface import (
     Cancel,
+    Endpoint,
     Event,
     Fail,
-    ListedServer,
-    ListKind,
+    Idempotency,
     Outcome,
     Probe,
     ProbeEnded,
     Refuse,
-    Repeat,
+    RegistryUpdated,
+    RegistryUpdateKind,
     RequestArrived,
     RequestGone,
     Send,
-    ServersListed,
     ServerState,
     SetTimer,
     TimerFired,
@@ -40,7 +40,7 @@
 CLASSES = [
     SAFE,
     UNSAFE,
-    *({**KEYED, "name": f"amend-{group}", "group": group} for group in ("all", "zone", "cell")),
+    *({**KEYED, "name": f"amend-{group}", "dedup_scope": group} for group in ("all", "zone", "cell")),
 ]
 
 
@@ -49,7 +49,7 @@
 
     def __init__(
         self,
-        second_copies: bool,
+        allow_hedging: bool,
         attempts: int,
         late_shedding: bool,
         ordered: set[str],
@@ -57,11 +57,11 @@
         rng_seed: int,
     ) -> None:
         self.settings = settings(
-            classes=[{**each, "by_arrival": each["name"] in ordered} for each in CLASSES],
-            limits={"second_copies": second_copies, "max_attempts": attempts, "may_probe": probing},
+            classes=[{**each, "ordered_by_key": each["name"] in ordered} for each in CLASSES],
+            limits={"allow_hedging": allow_hedging, "max_attempts": attempts, "allow_probes": probing},
             report={"source": "probes", "columns": ["inflight", "queue"]},
             prices={"cross_zone": 0.1},
-            rules={"late_shedding": late_shedding, "turn_gap_us": GAP},
+            rules={"late_shedding": late_shedding, "key_rest_us": GAP},
         )
         self.proofs = [Outcome.DIAL_FAILED, Outcome.UNSENT] + [Outcome.FULL] * (not late_shedding)
         self.balancer = Balancer(self.settings, rng_seed)
@@ -70,7 +70,7 @@
         self.timers: list[tuple[int, str]] = []
         self.requests: dict[int, dict[str, Any]] = {}
         self.probes: list[tuple[str, int]] = []
-        self.listed: dict[str, ListedServer] = {}
+        self.listed: dict[str, Endpoint] = {}
         self.next = 1
 
     def play(self, event: Event) -> None:
@@ -85,7 +85,7 @@
                 case SetTimer():
                     self.timers.append((self.now + action.in_us, action.token))
                 case Probe():
-                    assert self.settings.limits.may_probe and action.server in self.listed
+                    assert self.settings.limits.allow_probes and action.server in self.listed
                     self.probes.append((action.server, self.now))
                 case _:
                     pass
@@ -102,16 +102,16 @@
         if request["key"] is not None and not earlier:
             self.check_order(action.request)
         assert len(earlier) < self.settings.limits.max_attempts, "more attempts than allowed"
-        if not self.settings.limits.second_copies:
+        if not self.settings.limits.allow_hedging:
             assert not any(each["pending"] for each in earlier), "two copies out at once"
         maybe = [each for each in earlier if each["pending"] or each["outcome"] not in self.proofs]
-        if maybe and kind.repeat is Repeat.UNSAFE:
+        if maybe and kind.idempotency is Idempotency.UNSAFE:
             raise AssertionError("an unsafe request was sent again")
-        if maybe and kind.repeat is Repeat.KEYED:
-            assert self.now < maybe[0]["at"] + kind.memory_us, "sent after servers forgot"
+        if maybe and kind.idempotency is Idempotency.KEYED:
+            assert self.now < maybe[0]["at"] + kind.dedup_window_us, "sent after servers forgot"
             for each in maybe:
-                assert kind.group.value != "zone" or each["line"].zone == line.zone, "left the zone"
-                assert kind.group.value != "cell" or each["line"].cell == line.cell, "left the cell"
+                assert kind.dedup_scope.value != "zone" or each["line"].zone == line.zone, "left the zone"
+                assert kind.dedup_scope.value != "cell" or each["line"].cell == line.cell, "left the cell"
         earlier.append(
             {"server": action.server, "line": line, "at": self.now, "pending": True, "outcome": None}
         )
@@ -130,11 +130,14 @@
         request = self.requests[action.request]
         assert not request["over"], "two final answers"
         assert self.now < request["deadline"] or request["late"], "answered after the deadline"
-        if isinstance(action, Refuse) and request["kind"].repeat is not Repeat.SAFE:
+        if isinstance(action, Refuse) and request["kind"].idempotency is not Idempotency.SAFE:
             maybe = [
                 each for each in request["attempts"] if each["pending"] or each["outcome"] not in self.proofs
             ]
-            whole = request["kind"].repeat is Repeat.KEYED and request["kind"].group.value == "all"
+            whole = (
+                request["kind"].idempotency is Idempotency.KEYED
+                and request["kind"].dedup_scope.value == "all"
+            )
             assert not maybe or whole, "a refusal that may have run"
         request["over"] = True
 
@@ -154,7 +157,7 @@
             "late": remaining_us <= 2 * TICK,
             "attempts": [],
             "over": False,
-            "key": key if self.kinds[name].by_arrival else None,
+            "key": key if self.kinds[name].ordered_by_key else None,
         }
         self.play(RequestArrived(number, name, None, key, remaining_us))
 
@@ -189,13 +192,13 @@
             self.requests[number]["over"] = True
             self.play(RequestGone(number))
 
-    def list(self, kind: ListKind, lines: list[ListedServer]) -> None:
-        if kind is not ListKind.CHANGES:
+    def list(self, kind: RegistryUpdateKind, lines: list[Endpoint]) -> None:
+        if kind is not RegistryUpdateKind.DELTA:
             for line in self.listed.values():
                 line.state = ServerState.GONE
         for line in lines:
             self.listed[line.server] = line
-        self.play(ServersListed(kind, lines, 1))
+        self.play(RegistryUpdated(kind, lines, 1))
 
     def wait(self, span_us: int) -> None:
         until = self.now + span_us
@@ -214,7 +217,7 @@
 
 
 lines = st.builds(
-    ListedServer,
+    Endpoint,
     server=st.sampled_from(SERVERS),
     zone=st.sampled_from(ZONES),
     kind=st.just("box"),
@@ -243,7 +246,7 @@
     st.tuples(st.just("wait"), st.integers(1, 1_500).map(lambda ms: ms * MS)),
     st.tuples(
         st.just("list"),
-        st.sampled_from([ListKind.CHANGES, ListKind.COMPLETE, ListKind.FAILED]),
+        st.sampled_from([RegistryUpdateKind.DELTA, RegistryUpdateKind.SNAPSHOT, RegistryUpdateKind.FAILED]),
         st.lists(lines, max_size=5, unique_by=lambda each: each.server),
     ),
 )
@@ -269,8 +272,8 @@
     script: list[Any],
 ) -> None:
     referee = Referee(copies, attempts, late_shedding, ordered, probing, rng)
-    ready = [ListedServer(name, "east", "box", index % 3) for index, name in enumerate(SERVERS)]
-    referee.list(ListKind.REMEMBERED, ready)
+    ready = [Endpoint(name, "east", "box", index % 3) for index, name in enumerate(SERVERS)]
+    referee.list(RegistryUpdateKind.CACHED, ready)
     for step in script:
         match step:
             case ("arrive", name, remaining, key):
@@ -284,8 +287,8 @@
             case ("wait", span):
                 referee.wait(span)
             case ("list", kind, changed):
-                if kind is ListKind.FAILED:
-                    referee.play(ServersListed(kind))
+                if kind is RegistryUpdateKind.FAILED:
+                    referee.play(RegistryUpdated(kind))
                 else:
                     referee.list(kind, changed)
     referee.wait(4 * S)
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -319,7 +319,7 @@
 
 def test_an_idle_connection_is_closed_before_its_server_would() -> None:
     async def scene() -> None:
-        limits = {"max_attempts": 3, "may_cancel": True, "idle_close_us": 1 * S}
+        limits = {"max_attempts": 3, "allow_cancel": True, "idle_close_us": 1 * S}
         async with world(served, limits=limits) as w:
             assert (await w.ask())[0] == 200
             loop = asyncio.get_running_loop()
@@ -545,7 +545,7 @@
 def test_nothing_is_sent_for_a_request_that_is_over_even_where_nothing_may_be_cancelled() -> None:
     # Guards rule 1: a dial that came up after the final answer would still write the request.
     async def scene() -> None:
-        limits = {"max_attempts": 3, "may_cancel": False, "dial_timeout_us": 600 * S}
+        limits = {"max_attempts": 3, "allow_cancel": False, "dial_timeout_us": 600 * S}
         with deaf() as address:
             async with world(served, limits=limits) as w:
                 w.sidecar._upstream.update("s-0", address, None, ServerState.READY)
--- a/tests/test_cold_fleet.py
+++ b/tests/test_cold_fleet.py
@@ -14,18 +14,23 @@
 from topazbank import Balancer, Settings
 from topazbank.interface import (
     AttemptEnded,
+    Endpoint,
     Event,
-    ListedServer,
-    ListKind,
     Outcome,
+    RegistryUpdated,
+    RegistryUpdateKind,
     RequestArrived,
     Send,
-    ServersListed,
     SetTimer,
     TimerFired,
 )
 
-RULES: dict[str, float] = {"cold_from": 0.3, "cold_us": 8_900 * MS, "fall_multiple": 4.0, "fall_us": 1 * S}
+RULES: dict[str, float] = {
+    "slow_start_from": 0.3,
+    "slow_start_us": 8_900 * MS,
+    "overload_multiple": 4.0,
+    "overload_window_us": 1 * S,
+}
 SERVERS = 14
 LOAD_PER_S = 168.0  # on the fleet
 CAPACITY_PER_S = LOAD_PER_S / SERVERS / 0.6  # of a warm server
@@ -35,8 +40,14 @@
 
 
 def settings(fleet: int) -> Settings:
-    look = {"name": "look", "deadline_us": 2 * S, "aim_us": 250 * MS, "worth": 1, "repeat": "safe"}
-    limits = {"max_attempts": 6, "second_copies": True, "may_cancel": True}
+    look = {
+        "name": "look",
+        "deadline_us": 2 * S,
+        "latency_target_us": 250 * MS,
+        "worth": 1,
+        "idempotency": "safe",
+    }
+    limits = {"max_attempts": 6, "allow_hedging": True, "allow_cancel": True}
     return Settings.from_mapping(
         {"classes": [look], "zone": "east", "group_size": fleet, "limits": limits, "rules": RULES}
     )
@@ -67,12 +78,10 @@
 
     started = START + WARM_UP_US
     for index in range(fleet):
-        listed = [ListedServer(each, zone="east") for each in names(SERVERS)]
-        add(START, index, ServersListed(ListKind.COMPLETE, listed, 1))
-        news = [
-            ListedServer(each, zone="east", started_at=started if each in cold else None) for each in remain
-        ]
-        add(started, index, ServersListed(ListKind.COMPLETE, news, 2))
+        listed = [Endpoint(each, zone="east") for each in names(SERVERS)]
+        add(START, index, RegistryUpdated(RegistryUpdateKind.SNAPSHOT, listed, 1))
+        news = [Endpoint(each, zone="east", started_at=started if each in cold else None) for each in remain]
+        add(started, index, RegistryUpdated(RegistryUpdateKind.SNAPSHOT, news, 2))
     for ident, (at, index) in enumerate(arrivals(fleet, traffic, random.Random(fleet))):
         add(START + at, index, RequestArrived(ident, "look", None, None, 2 * S))
     sent: dict[str, list[int]] = {each: [] for each in cold}
@@ -95,9 +104,9 @@
     """The largest part of N + 2 x root of N + 2 that came in any span; N: what is allowed at its start."""
     worst = 0.0
     for first, since in enumerate(sent):
-        share = RULES["cold_from"] + (1.0 - RULES["cold_from"]) * since / RULES["cold_us"]
-        budget = RULES["fall_multiple"] * share * CAPACITY_PER_S * RULES["fall_us"] / S
-        count = sum(at < since + RULES["fall_us"] for at in sent[first:])
+        share = RULES["slow_start_from"] + (1.0 - RULES["slow_start_from"]) * since / RULES["slow_start_us"]
+        budget = RULES["overload_multiple"] * share * CAPACITY_PER_S * RULES["overload_window_us"] / S
+        count = sum(at < since + RULES["overload_window_us"] for at in sent[first:])
         worst = max(worst, count / (budget + 2.0 * math.sqrt(budget) + 2.0))
     return worst
 
@@ -110,7 +119,7 @@
     cold = every if which == "all cold" else every[:1]
     remain = every[:1] if "no other" in which else every
     sent = sent_to(cold, fleet, traffic, remain)
-    while_cold = [[at for at in each if at < RULES["cold_us"]] for each in sent.values()]
+    while_cold = [[at for at in each if at < RULES["slow_start_us"]] for each in sent.values()]
     assert max(map(most_of_bound, while_cold)) < 1.0
     if traffic != "at once" and fleet <= 30:  # of 200, hardly one has had a whole request's room by the end
         assert all(while_cold)  # it is not left alone either
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -33,7 +33,7 @@
 
 from topazbank.interface import Outcome, ServerState
 from topazbank.net import sidecar, upstream
-from topazbank.net.discovery import Discovery, Told, parse_list
+from topazbank.net.discovery import Discovery, RegistryResponse, parse_registry
 from topazbank.net.frontend import _LIMITS_S, Phase
 from topazbank.net.upstream import (
     Address,
@@ -168,7 +168,7 @@
 
 
 def test_a_client_leaves_as_its_request_comes_to_its_turn() -> None:
-    classes = [each | {"by_arrival": True} for each in CLASSES]
+    classes = [each | {"ordered_by_key": True} for each in CLASSES]
 
     async def scene() -> None:
         async with world(hung, classes=classes) as w:
@@ -240,8 +240,8 @@
 
     async def scene() -> None:
         # Held longer than the test takes, so that the probes' answers alone settle it.
-        classes = [each | {"deadline_us": 600 * S, "aim_us": 600 * S} for each in CLASSES]
-        limits = LIMITS | {"may_probe": True, "dial_timeout_us": 600 * S}
+        classes = [each | {"deadline_us": 600 * S, "latency_target_us": 600 * S} for each in CLASSES]
+        limits = LIMITS | {"allow_probes": True, "dial_timeout_us": 600 * S}
         changes: dict[str, Any] = {"classes": classes, "limits": limits, "prices": {"probe": 0.001}}
         async with world(holds_probes, holds_probes, report=report, **changes) as w:
             w.sidecar._upstream._rest_s = 0.0  # what was probed is written at once
@@ -457,7 +457,7 @@
 
 def test_a_dial_ends_with_the_drain_of_its_server_and_the_next_in_turn_is_drawn_for_it() -> None:
     # The end of the dial reaches the balancer ahead of the list, and lets the next request of its key out.
-    classes = [each | {"by_arrival": True} for each in CLASSES]
+    classes = [each | {"ordered_by_key": True} for each in CLASSES]
     limits = LIMITS | {"max_attempts": 1, "dial_timeout_us": 600 * S}
 
     async def scene() -> None:
@@ -471,7 +471,7 @@
                 await until(lambda: len(w.sidecar._live) == 2)
                 where = "{}:{}".format(*address)
                 entry = w.servers[0].entry(status="leaving", address=where)
-                w.sidecar._told(parse_list({"index": 42, "endpoints": [entry]}))
+                w.sidecar._told(parse_registry({"index": 42, "endpoints": [entry]}))
                 dialling = w.sidecar._upstream._endpoints["s-0"].dialling
                 assert not dialling
                 assert {(await each)[0] for each in outs} == {503}
@@ -607,7 +607,7 @@
 
 def test_discovery_moves_as_its_former_place_answers(monkeypatch: pytest.MonkeyPatch) -> None:
     async def scene() -> None:
-        heard: list[Told | None] = []
+        heard: list[RegistryResponse | None] = []
         called: list[tuple[Address, str, asyncio.Future[Response]]] = []
 
         async def call(self: Discovery, target: str, _: asyncio.Timeout) -> Response:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -9,7 +9,7 @@
 from loopback import FakeDiscovery, answer, play, until, world
 
 from topazbank.interface import ServerState
-from topazbank.net.discovery import _IDLE_S, Discovery, Told, parse_list
+from topazbank.net.discovery import _IDLE_S, Discovery, RegistryResponse, parse_registry
 
 
 def served(*_: object) -> bytes:
@@ -90,7 +90,7 @@
 
 def test_discovery_that_is_down_is_a_failed_call() -> None:
     async def scene() -> None:
-        heard: list[Told | None] = []
+        heard: list[RegistryResponse | None] = []
         down = FakeDiscovery()
         await down.start()
         down.stop()
@@ -108,7 +108,7 @@
     async def scene() -> None:
         service = FakeDiscovery()
         await service.start()
-        heard: list[Told | None] = []
+        heard: list[RegistryResponse | None] = []
         discovery = Discovery(service.address, 1, heard.append)
         for _ in range(3):
             discovery.follow(True)
@@ -176,12 +176,12 @@
         entry(since_ms=-1),
         entry(status=[]),
     ]
-    told = parse_list({"index": 5, "snapshot": True, "endpoints": [*junk, entry(since_ms=2, group=3)]})
+    told = parse_registry({"index": 5, "snapshot": True, "endpoints": [*junk, entry(since_ms=2, group=3)]})
     assert [each.server.server for each in told.lines] == ["s-1"]
     line = told.lines[0]
     assert (told.version, told.complete, line.address) == (5, True, ("127.0.0.1", 9))
     assert (line.server.started_at, line.server.cell, line.server.zone) == (2000, 3, "a")
-    assert parse_list({"index": 5, "endpoints": [entry()]}).lines[0].server.started_at is None
+    assert parse_registry({"index": 5, "endpoints": [entry()]}).lines[0].server.started_at is None
 
 
 @pytest.mark.parametrize(
@@ -194,7 +194,7 @@
     ],
 )
 def test_a_status_that_is_not_known_takes_nothing_new(status: str, state: ServerState) -> None:
-    told = parse_list({"index": 5, "snapshot": False, "endpoints": [entry(status=status)]})
+    told = parse_registry({"index": 5, "snapshot": False, "endpoints": [entry(status=status)]})
     assert told.lines[0].server.state is state
 
 
--- a/tests/test_draw.py
+++ b/tests/test_draw.py
@@ -11,14 +11,14 @@
 from topazbank.interface import (
     Cancel,
     CloseIdle,
+    Endpoint,
     Fail,
-    ListedServer,
-    ListKind,
     Log,
     Outcome,
     Probe,
     ProbeEnded,
     Refuse,
+    RegistryUpdateKind,
 )
 
 
@@ -62,9 +62,7 @@
 
 def test_nominal_size_stands_in_for_pace_until_answers_tell() -> None:
     stage = Stage()
-    stage.servers(
-        [ListedServer(name, "east", nominal=4.0 if name == names(8)[0] else 1.0) for name in names(8)]
-    )
+    stage.servers([Endpoint(name, "east", nominal=4.0 if name == names(8)[0] else 1.0) for name in names(8)])
     for _ in range(200):
         request = stage.request()
         stage.end(request)
@@ -216,8 +214,8 @@
     assert len(stage.sends()) <= 400 * 1.25 + 10
 
 
-def zones() -> list[ListedServer]:
-    return [ListedServer(name, "east" if index < 4 else "west") for index, name in enumerate(names(8))]
+def zones() -> list[Endpoint]:
+    return [Endpoint(name, "east" if index < 4 else "west") for index, name in enumerate(names(8))]
 
 
 def _crossings(stage: Stage, near_us: int, far_us: int) -> float:
@@ -311,16 +309,14 @@
 def test_a_restarted_process_is_readmitted_as_a_cold_server() -> None:
     stage = Stage()
     hung, _ = _with_one_hung(stage, 20)
-    stage.servers([ListedServer(hung, "east", started_at=stage.now)], ListKind.CHANGES)
+    stage.servers([Endpoint(hung, "east", started_at=stage.now)], RegistryUpdateKind.DELTA)
     server = stage.balancer._servers[hung]
     assert server.ejected_until is None and stage.balancer._is_cold(server)
 
 
 def test_heavy_requests_draw_slow_servers_less_than_light_ones_do(monkeypatch: pytest.MonkeyPatch) -> None:
     stage = Stage()
-    stage.servers(
-        [ListedServer(name, "east", nominal=0.5 if name == names(5)[0] else 1.0) for name in names(5)]
-    )
+    stage.servers([Endpoint(name, "east", nominal=0.5 if name == names(5)[0] else 1.0) for name in names(5)])
     seen: list[float] = []
     drawn = stage.balancer._drawn
 
@@ -489,7 +485,7 @@
 # Probes settle ties where they cost next to nothing
 
 PROBED = {
-    "limits": {"may_probe": True},
+    "limits": {"allow_probes": True},
     "report": {"source": "probes", "columns": ["inflight"]},
 }
 
@@ -548,7 +544,7 @@
     for changes in (
         {"prices": {"probe": 0.05}},
         {"report": {"source": "answers", "columns": ["inflight"]}},
-        {"limits": {"may_probe": False}},
+        {"limits": {"allow_probes": False}},
     ):
         stage = Stage(settings(**{**PROBED, **changes}))
         stage.servers(names(4))
@@ -573,8 +569,8 @@
     assert len(stage.sends(eased)) == 1
 
 
-def zoned() -> list[ListedServer]:
-    return [ListedServer(name, zone="east" if index < 3 else "west") for index, name in enumerate(names(6))]
+def zoned() -> list[Endpoint]:
+    return [Endpoint(name, zone="east" if index < 3 else "west") for index, name in enumerate(names(6))]
 
 
 def test_where_crossings_are_dear_the_own_zone_is_drawn_first_until_it_is_crowded() -> None:
@@ -713,7 +709,10 @@
     for worth, sent in ((0.0, 0), (0.5, 1)):
         stage = Stage(
             settings(
-                classes=[{"name": "look", "deadline_us": 2 * S, "aim_us": 500 * MS} | {"late_worth": worth}]
+                classes=[
+                    {"name": "look", "deadline_us": 2 * S, "latency_target_us": 500 * MS}
+                    | {"late_worth": worth}
+                ]
             )
         )
         stage.servers(names(4))
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -10,16 +10,16 @@
 from topazbank.interface import (
     AttemptEnded,
     Cancel,
+    Endpoint,
     Fail,
-    FetchList,
-    Follow,
-    ListedServer,
-    ListKind,
+    FetchRegistry,
     Outcome,
     Refuse,
+    RegistryUpdated,
+    RegistryUpdateKind,
     RequestGone,
-    ServersListed,
     ServerState,
+    WatchRegistry,
 )
 
 # Rule 1: one final answer in time
@@ -117,8 +117,8 @@
     assert len(targets) == 2 and targets[0] != targets[1]
 
 
-def cells() -> list[ListedServer]:
-    return [ListedServer(name, zone="east", cell=index % 2) for index, name in enumerate(names(8))]
+def cells() -> list[Endpoint]:
+    return [Endpoint(name, zone="east", cell=index % 2) for index, name in enumerate(names(8))]
 
 
 def test_a_keyed_request_that_may_have_run_stays_in_its_cell() -> None:
@@ -156,13 +156,13 @@
     stage.end(request, Outcome.DIAL_FAILED)  # nor then
     stage.wait(500 * MS)
     stage.end(request, Outcome.DROPPED)
-    ends = [send.repeat_by for _, send in stage.sends(request)]
+    ends = [send.write_by for _, send in stage.sends(request)]
     assert ends == [START + 2 * S - 5 * MS] * 2 + [sent_at + 2 * S - 5 * MS] * 2
-    assert [send.repeat_by for _, send in stage.sends(stage.request("pay"))] == [None]
+    assert [send.write_by for _, send in stage.sends(stage.request("pay"))] == [None]
 
 
 def test_a_second_copy_waits_for_the_first_where_only_one_may_be_out() -> None:
-    stage = Stage(settings(limits={"second_copies": False}))
+    stage = Stage(settings(limits={"allow_hedging": False}))
     stage.servers(names(6))
     stage.serve(100)
     request = stage.request("look")
@@ -197,33 +197,33 @@
     stage.servers(["10.0.0.1:80"])
     stage.drain("10.0.0.1:80", ServerState.GONE)
     assert stage.sends(stage.request()) == []
-    stage.servers(["10.0.0.1:80"], ListKind.CHANGES)
+    stage.servers(["10.0.0.1:80"], RegistryUpdateKind.DELTA)
     assert len(stage.sends(stage.request())) == 1
 
 
 def test_the_list_is_followed_from_the_first_event() -> None:
     stage = Stage()
-    stage.servers(names(2), ListKind.REMEMBERED)
-    assert stage.said(Follow) == [Follow(True)]
+    stage.servers(names(2), RegistryUpdateKind.CACHED)
+    assert stage.said(WatchRegistry) == [WatchRegistry(True)]
 
 
 def test_nothing_is_asked_where_changes_come_unasked() -> None:
     stage = Stage(settings(discovery="pushed"))
-    stage.servers(names(2), ListKind.REMEMBERED)
+    stage.servers(names(2), RegistryUpdateKind.CACHED)
     stage.wait(60 * S)
-    assert stage.said(Follow) == [] and stage.said(FetchList) == []
+    assert stage.said(WatchRegistry) == [] and stage.said(FetchRegistry) == []
 
 
 @pytest.mark.parametrize("ask_within_us", [10 * S, 600 * S])
 def test_failed_calls_are_repeated_with_growing_waits_and_never_given_up(ask_within_us: int) -> None:
     stage = Stage(settings(rules={"ask_within_us": ask_within_us}))
     asked = []
-    stage.servers(names(2), ListKind.REMEMBERED)
+    stage.servers(names(2), RegistryUpdateKind.CACHED)
     for _ in range(12):
         asked.append(stage.now)
-        count = len(stage.said(Follow))
-        stage.play(ServersListed(ListKind.FAILED))
-        while len(stage.said(Follow)) == count:
+        count = len(stage.said(WatchRegistry))
+        stage.play(RegistryUpdated(RegistryUpdateKind.FAILED))
+        while len(stage.said(WatchRegistry)) == count:
             stage.wait(5 * MS)
     waits = [later - earlier for earlier, later in itertools.pairwise(asked)]
     assert max(waits) <= 6 * S / 4  # a change counts as told 6 s after it could be heard, whatever is allowed
@@ -232,9 +232,9 @@
 
 def test_a_call_that_is_never_answered_is_made_again_in_time() -> None:
     stage = Stage()
-    stage.servers(names(2), ListKind.REMEMBERED)
+    stage.servers(names(2), RegistryUpdateKind.CACHED)
     stage.wait(10 * S)
-    times = [at for at, each in stage.log if isinstance(each, Follow)]
+    times = [at for at, each in stage.log if isinstance(each, WatchRegistry)]
     assert len(times) > 1
     assert all(later - earlier < 10 * S for earlier, later in itertools.pairwise(times))
 
@@ -249,8 +249,8 @@
     stage.serve(300, every_us=10 * MS)
     warm_per_s = 100 / 6
     began = stage.now
-    cold = ListedServer("10.0.0.6:80", zone="east", started_at=began)
-    stage.servers([cold], ListKind.CHANGES)
+    cold = Endpoint("10.0.0.6:80", zone="east", started_at=began)
+    stage.servers([cold], RegistryUpdateKind.DELTA)
     while stage.now < began + 10 * S:
         requests = [stage.request() for _ in range(burst)]
         stage.wait(every_us)
@@ -297,7 +297,7 @@
     for state in (ServerState.DRAINING, ServerState.GONE):
         stage.drain(server.name, state)
         assert not stage.balancer._send(request, server)
-    stage.servers([server.name], ListKind.CHANGES)
+    stage.servers([server.name], RegistryUpdateKind.DELTA)
     assert stage.balancer._send(request, stage.balancer._servers[server.name])
 
 
@@ -319,7 +319,7 @@
 
 def test_the_gate_lets_no_second_copy_out_where_only_one_is_allowed() -> None:
     for allowed in (False, True):
-        stage = Stage(settings(limits={"second_copies": allowed}))
+        stage = Stage(settings(limits={"allow_hedging": allowed}))
         stage.servers(names(3))
         request = stage.balancer._requests[stage.request()]
         server = next(
@@ -332,11 +332,11 @@
 
 ORDERED = {
     "classes": [
-        {"name": "save", "deadline_us": 2 * S, "repeat": "safe", "by_arrival": True},
-        {"name": "mark", "deadline_us": 2 * S, "repeat": "safe", "by_arrival": True},
-        {"name": "look", "deadline_us": 2 * S, "repeat": "safe"},
+        {"name": "save", "deadline_us": 2 * S, "idempotency": "safe", "ordered_by_key": True},
+        {"name": "mark", "deadline_us": 2 * S, "idempotency": "safe", "ordered_by_key": True},
+        {"name": "look", "deadline_us": 2 * S, "idempotency": "safe"},
     ],
-    "rules": {"turn_gap_us": 100 * MS},
+    "rules": {"key_rest_us": 100 * MS},
 }
 
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -10,17 +10,17 @@
 from hypothesis import strategies as st
 
 from topazbank import Balancer, Settings
-from topazbank.interface import Discovery, Repeat, RequestArrived
+from topazbank.interface import Discovery, Idempotency, RequestArrived
 
 LEAST = {"classes": [{"name": "a", "deadline_us": 1_000_000}]}
 
 
 def test_absent_keys_get_the_cautious_default() -> None:
     given = Settings.from_mapping(LEAST)
-    assert given.classes[0].repeat is Repeat.UNSAFE
-    assert given.classes[0].aim_us == 1_000_000
+    assert given.classes[0].idempotency is Idempotency.UNSAFE
+    assert given.classes[0].latency_target_us == 1_000_000
     assert given.discovery is Discovery.ON_REQUEST
-    assert not given.limits.second_copies and given.limits.max_attempts == 1
+    assert not given.limits.allow_hedging and given.limits.max_attempts == 1
     assert given.rules.drain_grace_us == 0
 
 
@@ -38,12 +38,12 @@
         ({"classes": [{"name": "a"}]}, "classes[0].deadline_us"),
         ({"classes": [{"name": "a", "deadline_us": 0}]}, "classes[0].deadline_us"),
         ({"classes": [{"name": "a", "deadline_us": float("nan")}]}, "classes[0].deadline_us"),
-        ({"classes": [{"name": "a", "deadline_us": 9, "repeat": "maybe"}]}, "classes[0].repeat"),
+        ({"classes": [{"name": "a", "deadline_us": 9, "idempotency": "maybe"}]}, "classes[0].idempotency"),
         ({"classes": [*LEAST["classes"], *LEAST["classes"]]}, "classes"),
         ({**LEAST, "limits": {"max_attempts": -1}}, "limits.max_attempts"),
-        ({**LEAST, "limits": {"second_copies": 1}}, "limits.second_copies"),
-        ({**LEAST, "rules": {"cold_from": 2}}, "rules.cold_from"),
-        ({**LEAST, "rules": {"fall_us": "long"}}, "rules.fall_us"),
+        ({**LEAST, "limits": {"allow_hedging": 1}}, "limits.allow_hedging"),
+        ({**LEAST, "rules": {"slow_start_from": 2}}, "rules.slow_start_from"),
+        ({**LEAST, "rules": {"overload_window_us": "long"}}, "rules.overload_window_us"),
         ({**LEAST, "report": {"columns": "util"}}, "report.columns"),
         ({**LEAST, "tenants": [3]}, "tenants[0]"),
         ({**LEAST, "group_size": 0}, "group_size"),
@@ -64,11 +64,30 @@
 @how(max_examples=200, deadline=None, derandomize=True)
 @given(
     st.dictionaries(
-        st.sampled_from(["deadline_us", "aim_us", "worth", "repeat", "group", "memory_us", "streaming"]),
+        st.sampled_from(
+            [
+                "deadline_us",
+                "latency_target_us",
+                "worth",
+                "idempotency",
+                "dedup_scope",
+                "dedup_window_us",
+                "streaming",
+            ]
+        ),
         values,
     ),
     st.dictionaries(
-        st.sampled_from(["max_attempts", "second_copies", "may_cancel", "cold_from", "cold_us", "fall_us"]),
+        st.sampled_from(
+            [
+                "max_attempts",
+                "allow_hedging",
+                "allow_cancel",
+                "slow_start_from",
+                "slow_start_us",
+                "overload_window_us",
+            ]
+        ),
         values,
     ),
 )
--- a/topazbank/__main__.py
+++ b/topazbank/__main__.py
@@ -16,7 +16,7 @@
 from collections.abc import Mapping
 from typing import Any
 
-from topazbank.net.discovery import Told, parse_list
+from topazbank.net.discovery import RegistryResponse, parse_registry
 from topazbank.net.sidecar import Config, Sidecar
 from topazbank.net.upstream import parse_address
 from topazbank.wirehost import settings_from_wire
@@ -47,7 +47,7 @@
         seed=_seed(given.get("seed", "0")),
         sockets=_sockets(given.get("limits")),
         settings=settings_from_wire(given.get("settings")),
-        known=Told(0, True, []) if known is None else parse_list(known),
+        known=RegistryResponse(0, True, []) if known is None else parse_registry(known),
     )
 
 
--- a/topazbank/balancer.py
+++ b/topazbank/balancer.py
@@ -20,29 +20,29 @@
     AttemptEnded,
     Cancel,
     CloseIdle,
+    DedupScope,
     Discovery,
+    Endpoint,
     Event,
     Fail,
-    Follow,
-    Group,
-    ListedServer,
-    ListKind,
+    Idempotency,
     Log,
     Outcome,
     Probe,
     ProbeEnded,
     Refuse,
-    Repeat,
+    RegistryUpdated,
+    RegistryUpdateKind,
     ReportSource,
     RequestArrived,
     RequestGone,
     Send,
-    ServersListed,
     ServerState,
     ServiceClass,
     SetTimer,
     Settings,
     TimerFired,
+    WatchRegistry,
 )
 
 # -- Constants: ratios of what the settings give or of what was observed ------------------------------
@@ -231,7 +231,7 @@
         self._classes = {each.name: each for each in settings.classes}
         self._tenants = {each.name: each for each in settings.tenants}
         self._all_shares = sum(each.share for each in settings.tenants) or 1.0
-        self._longest_aim = max(each.aim_us for each in settings.classes)
+        self._longest_aim = max(each.latency_target_us for each in settings.classes)
         self._now = 0
         self._actions: list[Action] = []
         self._servers: dict[str, Server] = {}  # those listed, and those gone of which something is out
@@ -249,14 +249,16 @@
         self._crossing = CROSS_GAIN * settings.prices.cross_zone
         self._connecting = CROSS_GAIN * settings.prices.handshake
         self._near_first = self._probes > 1 and self._crossing >= CROSS_LEAST
-        self._in_order = any(each.by_arrival for each in settings.classes)
+        self._in_order = any(each.ordered_by_key for each in settings.classes)
         full_proves = () if settings.rules.late_shedding else (Outcome.FULL,)
         self._proves_unrun = (Outcome.DIAL_FAILED, Outcome.UNSENT, *full_proves)
         # Of each entry: due, order, request (or key, or _ASK), attempt (or _WHOLE, or _TURN).
         self._agenda: list[tuple[int, int, int, int]] = []
         self._agenda_order = 0
         self._timer_due: int | None = None
-        self._beat = max(int(BEAT_AIMS * min(each.aim_us for each in settings.classes)), settings.tick_us)
+        self._beat = max(
+            int(BEAT_AIMS * min(each.latency_target_us for each in settings.classes)), settings.tick_us
+        )
         self._beat_due = 0  # when the next beat falls due, while anything is out
         self._back_at = -1  # when this balancer last came back from a stall of its own
         self._caught_up_at = -1  # and by when it has gone through what came meanwhile
@@ -278,8 +280,8 @@
         self._extra = EXTRA_PER_REQUEST * EXTRA_SAVED / 2
         self._longest_try: dict[str, int] = {}  # the most time left that a request of a class came with
         self._mean_cost: dict[str, float] = {}
-        self._arrivals = Rate(RATE_SPANS * settings.rules.fall_us)
-        self._served_warm = Rate(RATE_SPANS * settings.rules.fall_us)
+        self._arrivals = Rate(RATE_SPANS * settings.rules.overload_window_us)
+        self._served_warm = Rate(RATE_SPANS * settings.rules.overload_window_us)
         self._norms: dict[tuple[str, int], float] = {}  # usual time of a class and size, over all servers
         self._spent = 0.0  # running median of the part of its aim that an answer takes
         self._cores: float | None = None  # how busy servers report their cores, on average; None: not at all
@@ -312,7 +314,7 @@
                 self._request_arrived(event)
             case TimerFired():
                 self._timer_fired()
-            case ServersListed():
+            case RegistryUpdated():
                 self._servers_listed(event)
             case RequestGone():
                 self._request_gone(event)
@@ -352,12 +354,12 @@
     # -- The server list ------------------------------------------------------------------------------
 
     def _ask(self) -> None:
-        """Follow the list where it must be asked for.
+        """WatchRegistry the list where it must be asked for.
 
         A call that is never answered is made again: an instance may not pass `ask_within_us` unheard.
         """
         if self._settings.discovery is Discovery.ON_REQUEST:
-            self._actions.append(Follow(True))
+            self._actions.append(WatchRegistry(True))
             self._ask_in(ASK_AGAIN_MOST)
 
     def _ask_in(self, part: float) -> None:
@@ -371,15 +373,15 @@
         self._failed_calls = min(self._failed_calls + 1, 8)
         self._ask_in(part * (0.5 + 0.5 * self._random.random()))
 
-    def _servers_listed(self, event: ServersListed) -> None:
-        if event.kind is ListKind.FAILED:
+    def _servers_listed(self, event: RegistryUpdated) -> None:
+        if event.kind is RegistryUpdateKind.FAILED:
             self._ask_again_later()
             return
         self._bearable_by_mean()  # all that are warm may be leaving
-        if event.kind is not ListKind.REMEMBERED:
+        if event.kind is not RegistryUpdateKind.CACHED:
             self._failed_calls = 0
             self._ask_due = None
-        if event.kind is not ListKind.CHANGES:
+        if event.kind is not RegistryUpdateKind.DELTA:
             listed = {line.server for line in event.servers}
             for server in self._servers.values():
                 if server.name not in listed:
@@ -396,7 +398,7 @@
             if server.pace <= 0.0:  # until answers tell, a server is as quick as its nominal size
                 server.pace = mean_size / server.nominal if server.nominal > 0.0 else 1.0
 
-    def _server_listed(self, line: ListedServer) -> None:
+    def _server_listed(self, line: Endpoint) -> None:
         server = self._servers.get(line.server)
         if server is None:
             self._heard_of += 1
@@ -430,7 +432,7 @@
         if kind is None:
             # A class that the settings do not name: the least is assumed of it.
             allowed = max(event.remaining_us, 1)
-            kind = ServiceClass(event.service_class, allowed, allowed, by_arrival=self._in_order)
+            kind = ServiceClass(event.service_class, allowed, allowed, ordered_by_key=self._in_order)
         self._arrivals.add(self._now, 1.0)
         self._extra = min(self._extra + EXTRA_PER_REQUEST, EXTRA_PER_REQUEST * EXTRA_SAVED)
         answer_by = self._now + event.remaining_us - TICKS_EARLY * self._settings.tick_us
@@ -442,7 +444,7 @@
         self._schedule(answer_by, event.request, _WHOLE)
         if self._overloaded_for(request, event.tenant) or self._is_stale(kind, event.remaining_us):
             self._finish(request)
-        elif kind.by_arrival and event.key is not None:
+        elif kind.ordered_by_key and event.key is not None:
             self._line_up(request, event.key)
         else:
             self._place(request)
@@ -454,7 +456,11 @@
         """
         longest = max(self._longest_try.get(kind.name, 0), remaining_us)
         self._longest_try[kind.name] = longest
-        return self._now == self._back_at and kind.late_worth <= 0.0 and longest - remaining_us >= kind.aim_us
+        return (
+            self._now == self._back_at
+            and kind.late_worth <= 0.0
+            and longest - remaining_us >= kind.latency_target_us
+        )
 
     def _relative_cost(self, kind: ServiceClass, cost_us: int | None) -> float:
         if not cost_us or cost_us < 0:
@@ -516,7 +522,7 @@
     # -- Overload: refuse early, the least worthy first -----------------------------------------------
 
     def _feel(self, spent: float) -> None:
-        """Follow how much of its aim the typical answer takes, and size the window by it.
+        """WatchRegistry how much of its aim the typical answer takes, and size the window by it.
 
         A median, so that a few slow servers or heavy requests are not taken for an overloaded fleet.
         """
@@ -775,7 +781,7 @@
 
     def _probes_a_request(self) -> int:
         settings = self._settings
-        probed = settings.report_source is ReportSource.PROBES and settings.limits.may_probe
+        probed = settings.report_source is ReportSource.PROBES and settings.limits.allow_probes
         if not probed or "inflight" not in settings.report_columns:
             return 0
         return int(min(PROBE_SPEND / max(settings.prices.probe, 1e-9), DRAWN))
@@ -786,7 +792,7 @@
         With many balancers of few requests nearly all counters are zero, and the tie-break is the whole
         choice.  A server that does not answer in the time that others do is passed over.
         """
-        wait = PROBE_AIMS * request.kind.aim_us
+        wait = PROBE_AIMS * request.kind.latency_target_us
         if self._probe_time is not None:
             wait = min(wait, PROBE_WAIT * self._probe_time)
         request.asked = tied
@@ -889,7 +895,7 @@
             return False
         if not self._has_turn(request):
             return False  # order
-        if not self._settings.limits.second_copies and request.is_out():
+        if not self._settings.limits.allow_hedging and request.is_out():
             return False  # rule 2
         if not self._may_run_again(request) or not self._in_group(request, server):
             return False  # rule 2
@@ -908,28 +914,34 @@
             server.trial = attempt
             self._stuck += 1
         self._schedule(self._now + self._patience(request, server), request.ident, attempt.index)
-        repeat_by = self._repeat_by(request) if request.kind.repeat is Repeat.KEYED else None
-        self._actions.append(Send(request.ident, server.name, request.answer_by, repeat_by))
+        write_by = self._repeat_by(request) if request.kind.idempotency is Idempotency.KEYED else None
+        self._actions.append(Send(request.ident, server.name, request.answer_by, write_by))
         return True
 
     def _may_run_again(self, request: Request) -> bool:
         """Whether the request's class lets another attempt out now."""
-        if request.kind.repeat is Repeat.SAFE or not any(each.may_have_run for each in request.attempts):
+        if request.kind.idempotency is Idempotency.SAFE or not any(
+            each.may_have_run for each in request.attempts
+        ):
             return True
-        return request.kind.repeat is Repeat.KEYED and self._now < self._repeat_by(request)
+        return request.kind.idempotency is Idempotency.KEYED and self._now < self._repeat_by(request)
 
     def _repeat_by(self, request: Request) -> int:
         """When servers may begin to forget it; one tick less, since the clock is read once a tick."""
         since = next((each.sent_at for each in request.attempts if each.may_have_run), self._now)
-        return since + request.kind.memory_us - self._settings.tick_us
+        return since + request.kind.dedup_window_us - self._settings.tick_us
 
     @staticmethod
     def _in_group(request: Request, server: Server) -> bool:
         """Whether a keyed request that may have run would have its repeat dropped at this server."""
-        if request.kind.repeat is not Repeat.KEYED or request.kind.group is Group.ALL:
+        if request.kind.idempotency is not Idempotency.KEYED or request.kind.dedup_scope is DedupScope.ALL:
             return True
         first = next((each.server for each in request.attempts if each.may_have_run), server)
-        return first.zone == server.zone if request.kind.group is Group.ZONE else first.cell == server.cell
+        return (
+            first.zone == server.zone
+            if request.kind.dedup_scope is DedupScope.ZONE
+            else first.cell == server.cell
+        )
 
     # -- The final answer gate ------------------------------------------------------------------------
 
@@ -937,11 +949,16 @@
         """The one way out for an answer that is not a server's: a refusal where legal, else a failure."""
         if request.answered:
             return
-        harmless = request.kind.repeat is Repeat.SAFE or not any(a.may_have_run for a in request.attempts)
-        if request.kind.repeat is Repeat.KEYED and request.kind.group is Group.ALL:
+        harmless = request.kind.idempotency is Idempotency.SAFE or not any(
+            a.may_have_run for a in request.attempts
+        )
+        if request.kind.idempotency is Idempotency.KEYED and request.kind.dedup_scope is DedupScope.ALL:
             harmless = True
         limits = self._settings.limits  # spread out, or those refused at once would be back at once
-        back = min(BACK_AIMS * request.kind.aim_us * (0.5 + self._random.random()), limits.max_retry_after_us)
+        back = min(
+            BACK_AIMS * request.kind.latency_target_us * (0.5 + self._random.random()),
+            limits.max_retry_after_us,
+        )
         refusal = Refuse(request.ident, int(back) if limits.retry_after else 0)
         self._actions.append(refusal if harmless else Fail(request.ident))
         self._close(request)
@@ -950,7 +967,7 @@
         """Nothing is owed any more; attempts still out are called off where that is permitted."""
         request.answered = True
         for attempt in request.attempts:
-            if attempt.pending and not attempt.started and self._settings.limits.may_cancel:
+            if attempt.pending and not attempt.started and self._settings.limits.allow_cancel:
                 self._actions.append(Cancel(request.ident, attempt.index))
         self._forget_if_over(request)
 
@@ -972,7 +989,7 @@
         attempt.pending = False
         attempt.may_have_run = event.outcome not in self._proves_unrun
         if request.queue is not None and event.outcome in _MAY_RUN_ON:
-            request.queue.rests_until = self._now + self._settings.rules.turn_gap_us
+            request.queue.rests_until = self._now + self._settings.rules.key_rest_us
         attempt.server.in_flight -= 1
         self._pending -= 1
         if attempt.server.ejected_until is not None:
@@ -996,15 +1013,15 @@
             # A quick error must not look like a quick server: it counts as the slowest answer there is.
             self._pace(attempt.server, request, int(PACE_CLIP * self._usual(request)))
         if event.outcome is Outcome.DELIVERED:
-            self._served_aims.add(self._now, request.kind.aim_us)
+            self._served_aims.add(self._now, request.kind.latency_target_us)
         if event.outcome is Outcome.DELIVERED and not self._is_behind():
             if attempt.held is not None:
                 expected = self._by_held.at(attempt.held)
                 most = LOST_SPENT if expected is None else max(FIT_CLIP * expected, FIT_FLOOR)
-                self._by_held.add(attempt.held, min(event.elapsed_us / request.kind.aim_us, most))
+                self._by_held.add(attempt.held, min(event.elapsed_us / request.kind.latency_target_us, most))
             self._time(attempt.server, request, event.elapsed_us)
             if not attempt.felt:
-                self._feel(event.elapsed_us / request.kind.aim_us)
+                self._feel(event.elapsed_us / request.kind.latency_target_us)
             attempt.server.turned_away.pop(request.flow, None)
         elif event.outcome is Outcome.FULL and not self._turned_away(request, attempt.server, event.report):
             self._feel(LOST_SPENT)
@@ -1041,7 +1058,9 @@
 
     def _usual(self, request: Request) -> float:
         """The usual time of such a request, over all servers."""
-        return self._norms.get((request.kind.name, request.size), UNSEEN_AIMS * request.kind.aim_us)
+        return self._norms.get(
+            (request.kind.name, request.size), UNSEEN_AIMS * request.kind.latency_target_us
+        )
 
     def _pace(self, server: Server, request: Request, elapsed_us: int) -> None:
         ratio = min(elapsed_us / max(self._usual(request), 1.0), PACE_CLIP)
@@ -1057,7 +1076,7 @@
 
     def _patience(self, request: Request, server: Server) -> int:
         usual = PATIENCE * self._usual(request) * max(server.pace, 1.0)
-        return int(max(usual, PATIENCE_AIMS * request.kind.aim_us, self._settings.tick_us))
+        return int(max(usual, PATIENCE_AIMS * request.kind.latency_target_us, self._settings.tick_us))
 
     def _overdue(self, request: Request, attempt: Attempt) -> None:
         """An attempt takes far longer than usual.
@@ -1074,16 +1093,16 @@
             self._schedule(self._caught_up_at + self._settings.tick_us, request.ident, attempt.index)
             return
         waited = self._now - attempt.sent_at - (self._absent_us - attempt.absent_before)
-        if waited < request.kind.aim_us:
-            self._schedule(self._now + request.kind.aim_us - waited, request.ident, attempt.index)
-        enough = max(SILENCE * self._patience(request, server), SILENT_AIMS * request.kind.aim_us)
+        if waited < request.kind.latency_target_us:
+            self._schedule(self._now + request.kind.latency_target_us - waited, request.ident, attempt.index)
+        enough = max(SILENCE * self._patience(request, server), SILENT_AIMS * request.kind.latency_target_us)
         if silent and waited < enough:
             self._schedule(self._now + int(enough) - waited, request.ident, attempt.index)
             return
         if silent and server.ejected_until is None and others >= QUIET_PEERS:
             self._eject(server, "silent", SILENT_MOST)
         lost = server.ejected_until is not None or server.answered_from > attempt.sent_at
-        if waited >= request.kind.aim_us and not (lost or attempt.felt):
+        if waited >= request.kind.latency_target_us and not (lost or attempt.felt):
             # Late already, though no answer says so yet: waiting for one would see a surge too late.
             attempt.felt = True
             if self._cores is not None and silent:
@@ -1093,11 +1112,11 @@
         limits = self._settings.limits
         if not self._may_run_again(request) or len(request.attempts) >= limits.max_attempts:
             return  # waiting is all that is left
-        if limits.second_copies:
+        if limits.allow_hedging:
             if silent and self._extra >= 1.0:
                 self._extra -= 1.0
                 self._place(request)
-        elif silent and limits.may_cancel and self._extra >= 1.0:
+        elif silent and limits.allow_cancel and self._extra >= 1.0:
             self._actions.append(Cancel(request.ident, attempt.index))  # its end draws again
 
     # -- Outlier ejection -----------------------------------------------------------------------------
@@ -1157,7 +1176,7 @@
 
     def _trial_due(self, request: Request) -> Server | None:
         """An ejected server comes back by one trial at a time, with a request that may be repeated."""
-        if request.kind.repeat is not Repeat.SAFE or request.attempts:
+        if request.kind.idempotency is not Idempotency.SAFE or request.attempts:
             return None
         for server in self._ejected:
             waited = server.ejected_until is not None and self._now >= server.ejected_until
@@ -1174,7 +1193,10 @@
         server.allowance_at = self._now
 
     def _is_cold(self, server: Server) -> bool:
-        return server.cold_since is not None and self._now < server.cold_since + self._settings.rules.cold_us
+        return (
+            server.cold_since is not None
+            and self._now < server.cold_since + self._settings.rules.slow_start_us
+        )
 
     def _warmth(self, server: Server) -> float:
         """The least share of its capacity that the server has by now."""
@@ -1182,7 +1204,7 @@
         if server.cold_since is None or not self._is_cold(server):
             return 1.0
         age = max(self._now - server.cold_since, 0)
-        return rules.cold_from + (1.0 - rules.cold_from) * age / rules.cold_us
+        return rules.slow_start_from + (1.0 - rules.slow_start_from) * age / rules.slow_start_us
 
     def _cold_room(self, server: Server, cost: float) -> bool:
         """Whether a cold server's budget has room for a request of this cost.
@@ -1196,8 +1218,8 @@
         bearable = self._bearable_by_mean()
         if self._mean_size > 0.0:
             bearable *= min(server.nominal / self._mean_size, 1.0)
-        limit = rules.fall_multiple * self._warmth(server) * bearable
-        most = max(1.0, COLD_BURST * limit * rules.fall_us)
+        limit = rules.overload_multiple * self._warmth(server) * bearable
+        most = max(1.0, COLD_BURST * limit * rules.overload_window_us)
         filled = COLD_SHARE * limit * max(self._now - server.allowance_at, 0)
         server.allowance = min(server.allowance + filled, most)
         server.allowance_at = self._now
--- a/topazbank/interface.py
+++ b/topazbank/interface.py
@@ -15,7 +15,7 @@
 
 
 @unique
-class Repeat(Enum):
+class Idempotency(Enum):
     """What a class of requests says of a second attempt."""
 
     SAFE = "safe"  # may run any number of times
@@ -24,7 +24,7 @@
 
 
 @unique
-class Group(Enum):
+class DedupScope(Enum):
     """Which servers drop the repeats of a keyed request."""
 
     ALL = "all"
@@ -77,12 +77,12 @@
 
 
 @unique
-class ListKind(Enum):
+class RegistryUpdateKind(Enum):
     """How a server list is to be read."""
 
-    CHANGES = "changes"  # changed entries only
-    COMPLETE = "complete"  # who is missing is gone
-    REMEMBERED = "remembered"  # complete, but as last held before a restart
+    DELTA = "delta"  # changed entries only
+    SNAPSHOT = "snapshot"  # who is missing is gone
+    CACHED = "cached"  # complete, but as last held before a restart
     FAILED = "failed"  # a call failed or the subscription broke; nothing changes
 
 
@@ -110,15 +110,15 @@
 
     name: str
     deadline_us: int
-    aim_us: int
+    latency_target_us: int
     worth: float = 1.0
     late_worth: float = 0.0
-    repeat: Repeat = Repeat.UNSAFE
-    group: Group = Group.CELL
-    memory_us: int = 0
+    idempotency: Idempotency = Idempotency.UNSAFE
+    dedup_scope: DedupScope = DedupScope.CELL
+    dedup_window_us: int = 0
     streaming: bool = False
-    aim_stretch: float = 0.0
-    by_arrival: bool = False  # requests with one key run one at a time, in the order they were taken
+    latency_target_stretch: float = 0.0
+    ordered_by_key: bool = False  # requests with one key run one at a time, in the order they were taken
 
 
 @dataclass(frozen=True, slots=True)
@@ -135,9 +135,9 @@
     """What the deployment permits."""
 
     max_attempts: int = 1
-    second_copies: bool = False
-    may_cancel: bool = False
-    may_probe: bool = False
+    allow_hedging: bool = False
+    allow_cancel: bool = False
+    allow_probes: bool = False
     may_message: bool = False
     retry_after: bool = False
     max_retry_after_us: int = 0
@@ -153,12 +153,12 @@
     answer_slack_us: int = 0
     ask_within_us: int = 10_000_000
     drain_grace_us: int = 0
-    cold_from: float = 0.1
-    cold_us: int = 30_000_000
-    fall_multiple: float = 1.0
-    fall_us: int = 2_000_000
+    slow_start_from: float = 0.1
+    slow_start_us: int = 30_000_000
+    overload_multiple: float = 1.0
+    overload_window_us: int = 2_000_000
     late_shedding: bool = False  # servers also say "full" of work they had begun
-    turn_gap_us: int = 0  # how long a key rests after an attempt that may still be running
+    key_rest_us: int = 0  # how long a key rests after an attempt that may still be running
 
 
 @dataclass(frozen=True, slots=True)
@@ -226,9 +226,9 @@
             warm_keys=top.flag("warm_keys", False),
             limits=Limits(
                 max_attempts=limits.whole("max_attempts", 1),
-                second_copies=limits.flag("second_copies", False),
-                may_cancel=limits.flag("may_cancel", False),
-                may_probe=limits.flag("may_probe", False),
+                allow_hedging=limits.flag("allow_hedging", False),
+                allow_cancel=limits.flag("allow_cancel", False),
+                allow_probes=limits.flag("allow_probes", False),
                 may_message=limits.flag("may_message", False),
                 retry_after=limits.flag("retry_after", False),
                 max_retry_after_us=limits.whole("max_retry_after_us", 0),
@@ -240,12 +240,12 @@
                 answer_slack_us=rules.whole("answer_slack_us", 0),
                 ask_within_us=rules.whole("ask_within_us", 10_000_000, low=1),
                 drain_grace_us=rules.whole("drain_grace_us", 0),
-                cold_from=rules.number("cold_from", 0.1, low=0.001, high=1.0),
-                cold_us=rules.whole("cold_us", 30_000_000),
-                fall_multiple=rules.number("fall_multiple", 1.0, low=0.001),
-                fall_us=rules.whole("fall_us", 2_000_000, low=1),
+                slow_start_from=rules.number("slow_start_from", 0.1, low=0.001, high=1.0),
+                slow_start_us=rules.whole("slow_start_us", 30_000_000),
+                overload_multiple=rules.number("overload_multiple", 1.0, low=0.001),
+                overload_window_us=rules.whole("overload_window_us", 2_000_000, low=1),
                 late_shedding=rules.flag("late_shedding", False),
-                turn_gap_us=rules.whole("turn_gap_us", 0),
+                key_rest_us=rules.whole("key_rest_us", 0),
             ),
             prices=Prices(
                 cross_zone=prices.number("cross_zone", 0.0),
@@ -263,15 +263,15 @@
     return ServiceClass(
         name=each.text("name"),
         deadline_us=deadline,
-        aim_us=min(each.whole("aim_us", deadline, low=1), deadline),
+        latency_target_us=min(each.whole("latency_target_us", deadline, low=1), deadline),
         worth=each.number("worth", 1.0),
         late_worth=each.number("late_worth", 0.0),
-        repeat=each.choice("repeat", Repeat, Repeat.UNSAFE),
-        group=each.choice("group", Group, Group.CELL),
-        memory_us=each.whole("memory_us", 0),
+        idempotency=each.choice("idempotency", Idempotency, Idempotency.UNSAFE),
+        dedup_scope=each.choice("dedup_scope", DedupScope, DedupScope.CELL),
+        dedup_window_us=each.whole("dedup_window_us", 0),
         streaming=each.flag("streaming", False),
-        aim_stretch=each.number("aim_stretch", 0.0),
-        by_arrival=each.flag("by_arrival", False),
+        latency_target_stretch=each.number("latency_target_stretch", 0.0),
+        ordered_by_key=each.flag("ordered_by_key", False),
     )
 
 
@@ -365,7 +365,7 @@
 
 
 @dataclass(slots=True)
-class ListedServer:
+class Endpoint:
     """A line of the server list."""
 
     server: str
@@ -378,11 +378,11 @@
 
 
 @dataclass(slots=True)
-class ServersListed:
+class RegistryUpdated:
     """The server list was heard, or a call for it failed."""
 
-    kind: ListKind
-    servers: Sequence[ListedServer] = ()
+    kind: RegistryUpdateKind
+    servers: Sequence[Endpoint] = ()
     version: int = 0
 
 
@@ -456,7 +456,7 @@
 
 
 Event = (
-    ServersListed
+    RegistryUpdated
     | RequestArrived
     | AnswerStarted
     | AttemptEnded
@@ -477,9 +477,7 @@
     request: int
     server: str
     until: int  # clock time at which the attempt is abandoned
-    repeat_by: int | None = (
-        None  # and before which it is written whole if another one was begun; None: always
-    )
+    write_by: int | None = None  # and before which it is written whole if another one was begun; None: always
 
 
 @dataclass(slots=True)
@@ -536,14 +534,14 @@
 
 
 @dataclass(slots=True)
-class Follow:
+class WatchRegistry:
     """Subscribe to changes of the server list, or end that."""
 
     wanted: bool = True
 
 
 @dataclass(slots=True)
-class FetchList:
+class FetchRegistry:
     """Ask once for the complete server list."""
 
 
@@ -554,4 +552,6 @@
     text: str
 
 
-Action = Send | Refuse | Fail | Cancel | SetTimer | Probe | CloseIdle | Tell | Follow | FetchList | Log
+Action = (
+    Send | Refuse | Fail | Cancel | SetTimer | Probe | CloseIdle | Tell | WatchRegistry | FetchRegistry | Log
+)
--- a/topazbank/net/discovery.py
+++ b/topazbank/net/discovery.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from topazbank.interface import ListedServer, ServerState
+from topazbank.interface import Endpoint, ServerState
 from topazbank.net.upstream import Address, Connection, Response, connect, message, parse_address
 
 log = logging.getLogger(__name__)
@@ -29,23 +29,23 @@
 
 
 @dataclass(slots=True)
-class Listed:
+class ResolvedEndpoint:
     """A line of the list, with the address that the server has for this sidecar."""
 
-    server: ListedServer
+    server: Endpoint
     address: Address | None
 
 
 @dataclass(slots=True)
-class Told:
+class RegistryResponse:
     """What discovery answered."""
 
     version: int
     complete: bool
-    lines: list[Listed]
+    lines: list[ResolvedEndpoint]
 
 
-def parse_list(given: object) -> Told:
+def parse_registry(given: object) -> RegistryResponse:
     """Read discovery's form; a junk entry is skipped with a log line, a junk list is a ValueError."""
     if not isinstance(given, Mapping) or not isinstance(given.get("endpoints"), list):
         raise ValueError("a list of servers is an object with endpoints")
@@ -58,10 +58,10 @@
             lines.append(_listed(entry))
         except (ValueError, TypeError, KeyError, AttributeError) as junk:
             log.warning("list entry skipped: %r: %.120r", junk, entry)
-    return Told(version, given.get("snapshot") is True, lines)
+    return RegistryResponse(version, given.get("snapshot") is True, lines)
 
 
-def _listed(entry: Mapping[str, Any]) -> Listed:
+def _listed(entry: Mapping[str, Any]) -> ResolvedEndpoint:
     name, zone, kind = entry["name"], entry.get("zone", ""), entry.get("type", "")
     group, weight, since_ms = entry.get("group", 0), entry.get("weight", 1.0), entry.get("since_ms", 0)
     if not all(isinstance(each, str) for each in (name, zone, kind)) or not name:
@@ -73,8 +73,8 @@
     # A status that is not known here takes nothing new.
     state = _STATES.get(entry["status"], ServerState.DRAINING)
     started_at = since_ms * 1000 or None
-    server = ListedServer(name, zone, kind, group, state, float(weight), started_at)
-    return Listed(server, _place(entry.get("address"), state))
+    server = Endpoint(name, zone, kind, group, state, float(weight), started_at)
+    return ResolvedEndpoint(server, _place(entry.get("address"), state))
 
 
 def _place(value: object, state: ServerState) -> Address | None:
@@ -90,7 +90,9 @@
 class Discovery:
     """Watches the list while that is wanted; each call has a connection of its own."""
 
-    def __init__(self, address: Address, version: int, told: Callable[[Told | None], None]) -> None:
+    def __init__(
+        self, address: Address, version: int, told: Callable[[RegistryResponse | None], None]
+    ) -> None:
         self._address = address
         self._version: int | None = version  # None: the whole list is needed, whatever was heard before
         self._in_doubt = False  # whether the last call failed or was given up on
@@ -161,7 +163,7 @@
 
     async def _ask(self, target: str, limit_s: float) -> bool:
         """Make a call and tell what came of it; say whether the next may be made at once."""
-        told: Told | None = None
+        told: RegistryResponse | None = None
         limit, version = asyncio.timeout(limit_s), self._version
         try:
             async with limit:
@@ -177,12 +179,12 @@
         return told is not None or limit.expired()
 
     @staticmethod
-    def _read(response: Response | None) -> Told:
+    def _read(response: Response | None) -> RegistryResponse:
         if response is None:
             raise ConnectionResetError("the connection broke")
         if response.status != 200:
             raise ConnectionRefusedError(f"status {response.status}")
-        return parse_list(json.loads(response.body))
+        return parse_registry(json.loads(response.body))
 
     async def _call(self, target: str, limit: asyncio.Timeout) -> Response | None:
         async with asyncio.timeout(_DIAL_S):
--- a/topazbank/net/frontend.py
+++ b/topazbank/net/frontend.py
@@ -13,7 +13,7 @@
 
 import h11
 
-from topazbank.interface import Repeat, Settings
+from topazbank.interface import Idempotency, Settings
 from topazbank.net.upstream import Address, Headers, Reader, end_to_end, has_ended, is_quiet, message
 
 log = logging.getLogger(__name__)
@@ -150,11 +150,11 @@
     kind = next((each for each in settings.classes if each.name == call.service_class), None)
     if kind is None:
         raise BadRequest(400, "x-call-class is not known")
-    if call.method != (b"GET" if kind.repeat is Repeat.SAFE else b"POST"):
+    if call.method != (b"GET" if kind.idempotency is Idempotency.SAFE else b"POST"):
         raise BadRequest(405, "not the method of the class")
-    if kind.repeat is Repeat.SAFE and call.body:
+    if kind.idempotency is Idempotency.SAFE and call.body:
         raise BadRequest(400, "a body belongs to no request that is safe to repeat")
-    if kind.repeat is Repeat.KEYED and not keyed:
+    if kind.idempotency is Idempotency.KEYED and not keyed:
         raise BadRequest(400, "idempotency-key is missing")  # servers could not drop its repeats
     if call.budget_us > _OVER_DEADLINE * kind.deadline_us:
         raise BadRequest(400, "x-budget is longer than the deadline of the class")
--- a/topazbank/net/sidecar.py
+++ b/topazbank/net/sidecar.py
@@ -22,31 +22,31 @@
     AttemptEnded,
     Cancel,
     CloseIdle,
+    Endpoint,
     Event,
     Fail,
-    FetchList,
-    Follow,
-    ListedServer,
-    ListKind,
+    FetchRegistry,
+    Idempotency,
     Log,
     Outcome,
     Probe,
     ProbeEnded,
     Refuse,
-    Repeat,
+    RegistryUpdated,
+    RegistryUpdateKind,
     ReportSource,
     RequestArrived,
     RequestGone,
     Send,
-    ServersListed,
     ServerState,
     SetTimer,
     Settings,
     TimerFired,
+    WatchRegistry,
 )
 from topazbank.interface import Discovery as DiscoveryMode
 from topazbank.net import upstream
-from topazbank.net.discovery import Discovery, Told
+from topazbank.net.discovery import Discovery, RegistryResponse
 from topazbank.net.frontend import Call, Frontend, Hooks, retry_after
 from topazbank.net.upstream import Address, Exchange, Headers, Response
 
@@ -101,7 +101,7 @@
     seed: int
     sockets: int
     settings: Settings
-    known: Told
+    known: RegistryResponse
 
 
 class Sidecar:
@@ -133,8 +133,8 @@
             SetTimer: self._set_timer,
             Probe: self._probe,
             CloseIdle: lambda action: self._upstream.close_idle(action.server),
-            Follow: lambda action: self._discovery.follow(action.wanted),
-            FetchList: lambda _: self._discovery.fetch(),
+            WatchRegistry: lambda action: self._discovery.follow(action.wanted),
+            FetchRegistry: lambda _: self._discovery.fetch(),
             Log: lambda action: log.info("%s", action.text),
         }
 
@@ -142,7 +142,7 @@
 
     async def run(self, stop: asyncio.Event) -> None:
         """Serve until `stop`, then answer all that is held and return."""
-        self._list(ListKind.REMEMBERED, self._known)
+        self._list(RegistryUpdateKind.CACHED, self._known)
         if self._settings.discovery is DiscoveryMode.PUSHED:
             self._discovery.follow(True)
         self.frontend.start()
@@ -289,7 +289,7 @@
         Guards against a client whose connection broke under the answer: it may send the same request again.
         """
         kind = next(each for each in self._settings.classes if each.name == live.call.service_class)
-        if live.begun and kind.repeat is not Repeat.SAFE:
+        if live.begun and kind.idempotency is not Idempotency.SAFE:
             loop = asyncio.get_running_loop()
             loop.call_later(kind.deadline_us / 1e6, self._out.discard, live.call.ident)
         else:
@@ -319,7 +319,7 @@
         live.out[index] = None
         until = self._clock.on_loop(min(action.until or live.answer_by, live.answer_by))
         ended = partial(self._attempt_ended, live, index, action.server, self._clock.now())
-        order = partial(self._order, live, index, action.repeat_by)
+        order = partial(self._order, live, index, action.write_by)
         try:
             exchange = self._upstream.send(action.server, order, until, ended)
         except Exception:
@@ -327,12 +327,12 @@
             raise
         if index in live.out:
             live.out[index] = exchange
-            if action.repeat_by is not None and not exchange.is_written():
-                at = self._clock.on_loop(action.repeat_by)
+            if action.write_by is not None and not exchange.is_written():
+                at = self._clock.on_loop(action.write_by)
                 over = asyncio.get_running_loop().call_at(at, self._repeat_over, live, index)
                 exchange.timers.append(over)
 
-    def _order(self, live: Live, index: int, repeat_by: int | None, left_s: float) -> bytes | None:
+    def _order(self, live: Live, index: int, write_by: int | None, left_s: float) -> bytes | None:
         """What an attempt sends; nothing where that is of no use any more.
 
         Guards servers against work for nobody: a close that nobody has read of yet is news all the same.
@@ -341,7 +341,7 @@
         if live.call.has_left():
             self._gone(live.call)
             return None
-        if repeat_by is not None and live.begun - {index} and self._clock.now() >= repeat_by:
+        if write_by is not None and live.begun - {index} and self._clock.now() >= write_by:
             return None
         live.begun.add(index)
         return _request(live.call, left_s)
@@ -393,24 +393,24 @@
     def _set_timer(self, action: SetTimer) -> None:
         asyncio.get_running_loop().call_later(action.in_us / 1e6, self.handle, TimerFired(action.token))
 
-    def _told(self, told: Told | None) -> None:
+    def _told(self, told: RegistryResponse | None) -> None:
         if told is not None:
-            self._list(ListKind.COMPLETE if told.complete else ListKind.CHANGES, told)
+            self._list(RegistryUpdateKind.SNAPSHOT if told.complete else RegistryUpdateKind.DELTA, told)
             return
-        self.handle(ServersListed(ListKind.FAILED))
+        self.handle(RegistryUpdated(RegistryUpdateKind.FAILED))
         if self._settings.discovery is DiscoveryMode.PUSHED:
             asyncio.get_running_loop().call_later(_PUSHED_AGAIN_S, self._discovery.follow, True)
 
-    def _list(self, kind: ListKind, told: Told) -> None:
+    def _list(self, kind: RegistryUpdateKind, told: RegistryResponse) -> None:
         """Note the addresses first: the balancer may send on hearing of a server."""
-        if kind is not ListKind.CHANGES:
+        if kind is not RegistryUpdateKind.DELTA:
             self._upstream.retain({line.server.server for line in told.lines})
         for line in told.lines:
             server = line.server
             self._upstream.update(server.server, line.address, server.started_at, server.state)
         servers = [line.server for line in told.lines]
-        servers += [ListedServer(name, state=ServerState.GONE) for name in self._upstream.displace()]
-        self.handle(ServersListed(kind, servers, told.version))
+        servers += [Endpoint(name, state=ServerState.GONE) for name in self._upstream.displace()]
+        self.handle(RegistryUpdated(kind, servers, told.version))
 
 
 def _request(call: Call, left_s: float) -> bytes:
--- a/topazbank/wirehost.py
+++ b/topazbank/wirehost.py
@@ -18,27 +18,27 @@
     AttemptEnded,
     Cancel,
     CloseIdle,
+    Endpoint,
     Event,
     Fail,
-    FetchList,
-    Follow,
-    ListedServer,
-    ListKind,
+    FetchRegistry,
     Log,
     MessageReceived,
     Outcome,
     Probe,
     ProbeEnded,
     Refuse,
+    RegistryUpdated,
+    RegistryUpdateKind,
     RequestArrived,
     RequestGone,
     Send,
-    ServersListed,
     ServerState,
     SetTimer,
     Settings,
     Tell,
     TimerFired,
+    WatchRegistry,
 )
 
 
@@ -67,23 +67,23 @@
     "classes": {
         "name": "name",
         "giveUpUs": "deadline_us",
-        "promiseUs": "aim_us",
+        "promiseUs": "latency_target_us",
         "worth": "worth",
         "lateValue": "late_worth",
-        "repeat": "repeat",
-        "group": "group",
-        "memorySpanUs": "memory_us",
+        "repeat": "idempotency",
+        "group": "dedup_scope",
+        "memorySpanUs": "dedup_window_us",
         "streaming": "streaming",
-        "aimStretch": "aim_stretch",
-        "byArrival": "by_arrival",
+        "aimStretch": "latency_target_stretch",
+        "byArrival": "ordered_by_key",
     },
     "tenants": {"name": "name", "portion": "share", "quotaRps": "quota_per_s"},
     "report": {"columns": "columns", "source": "source"},
     "limits": {
         "sendCap": "max_attempts",
-        "secondCopies": "second_copies",
-        "mayCancel": "may_cancel",
-        "probing": "may_probe",
+        "secondCopies": "allow_hedging",
+        "mayCancel": "allow_cancel",
+        "probing": "allow_probes",
         "mayTell": "may_message",
         "retryAfter": "retry_after",
         "maxRetryAfterUs": "max_retry_after_us",
@@ -95,12 +95,12 @@
         "answerSlackUs": "answer_slack_us",
         "askWithinUs": "ask_within_us",
         "drainGraceUs": "drain_grace_us",
-        "coldFrom": "cold_from",
-        "coldUs": "cold_us",
-        "fallMultiple": "fall_multiple",
-        "fallUs": "fall_us",
+        "coldFrom": "slow_start_from",
+        "coldUs": "slow_start_us",
+        "fallMultiple": "overload_multiple",
+        "fallUs": "overload_window_us",
         "lateShedding": "late_shedding",
-        "turnGapUs": "turn_gap_us",
+        "turnGapUs": "key_rest_us",
     },
     "prices": {
         "crossZone": "cross_zone",
@@ -113,14 +113,14 @@
 }
 # Words that stand for values.
 _WORDS = {
-    "repeat": {"read_like": "safe", "idempotency_key": "keyed", "non_idempotent": "unsafe"},
+    "idempotency": {"read_like": "safe", "idempotency_key": "keyed", "non_idempotent": "unsafe"},
     "source": {"piggyback": "answers", "pull": "probes"},
 }
 _LIST_KINDS = {
-    "delta": ListKind.CHANGES,
-    "full": ListKind.COMPLETE,
-    "cached": ListKind.REMEMBERED,
-    "failed": ListKind.FAILED,
+    "delta": RegistryUpdateKind.DELTA,
+    "full": RegistryUpdateKind.SNAPSHOT,
+    "cached": RegistryUpdateKind.CACHED,
+    "failed": RegistryUpdateKind.FAILED,
 }
 _STATES = {each.value: each for each in ServerState}
 _OUTCOMES = {
@@ -216,14 +216,14 @@
         raise WireError("hex digits are needed") from None
 
 
-def _listed(line: object) -> ListedServer:
+def _listed(line: object) -> Endpoint:
     if not isinstance(line, list) or len(line) < 6:
         raise WireError("an entry of a server list has at least 6 values")
     nominal = line[5]
     if isinstance(nominal, bool) or not isinstance(nominal, (int, float)):
         raise WireError("a nominal figure must be a number")
     started = _optional_whole(line[6]) if len(line) > 6 else None
-    return ListedServer(
+    return Endpoint(
         server=_text(line[0]),
         zone=_text(line[1]),
         kind=_text(line[2]),
@@ -290,8 +290,8 @@
     Probe: ("CHECK", lambda a: [a.server]),
     CloseIdle: ("SHUT_IDLE", lambda a: [a.server]),
     Tell: ("POST", lambda a: [_EVERY_PEER if a.receiver is None else a.receiver, a.payload.hex()]),
-    Follow: ("FOLLOW", lambda a: [a.wanted]),
-    FetchList: ("REFRESH", lambda a: []),
+    WatchRegistry: ("FOLLOW", lambda a: [a.wanted]),
+    FetchRegistry: ("REFRESH", lambda a: []),
     Log: ("REMARK", lambda a: [a.text]),
 }
 
@@ -310,7 +310,7 @@
 
     def __init__(self) -> None:
         self._balancers: dict[str, Balancer] = {}
-        self._pages: dict[int, list[ListedServer]] = {}
+        self._pages: dict[int, list[Endpoint]] = {}
         self._now = 0
         self._open = False
         self._reply: list[str] = []
@@ -374,14 +374,14 @@
             self._need(message, least)
             self._play(who, balancer, read(message))
 
-    def _targets(self, message: list[Any]) -> ServersListed:
+    def _targets(self, message: list[Any]) -> RegistryUpdated:
         kind = _word(message[2], _LIST_KINDS)
-        if kind is ListKind.FAILED:
-            return ServersListed(kind)
+        if kind is RegistryUpdateKind.FAILED:
+            return RegistryUpdated(kind)
         page = self._pages.get(_whole(message[3]))
         if page is None:
             raise WireError(f"TARGETS names list {message[3]}, which was not given")
-        return ServersListed(kind, page, _whole(message[4]))
+        return RegistryUpdated(kind, page, _whole(message[4]))
 
     def _play(self, who: str, balancer: Balancer, event: Event) -> None:
         try:
