Keep measuring while the concurrency limit is full, and let late attempts leave its load

The limit itself: its load holds attempts at jammed servers up to their deadline, of 6 to 9 s, and given-up ones as long again, while a third of the servers stand idle; and its mean load fades over four longest targets. As nothing is let in, nothing tells that servers are well.

Change: an attempt past its latency target, whose verdict is in, counts as load no more. A full limit lets one request in a latency target after the last one sent, and the next one as soon as an answer is quick. Where few requests come only the latter holds: the counts there let a trickle in anyhow.

Invariant: four latency targets after the servers are well at least nine in ten requests are served in time.

--- /dev/null
+++ b/tests/test_overload_recovery.py
@@ -0,0 +1,188 @@
+"""How soon a fleet of balancers with little traffic each admits what its servers bear again.
+
+The invariant: four latency targets after hung servers have become well, at least nine in ten requests are
+admitted and answered in time, however few each balancer gets and however long the targets are.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+from collections import deque
+from dataclasses import dataclass, field
+
+import pytest
+from helpers import MS, START, names
+
+from topazbank import Balancer, Settings
+from topazbank.interface import (
+    Action,
+    AttemptEnded,
+    Endpoint,
+    Event,
+    Fail,
+    Outcome,
+    Refuse,
+    RegistryUpdated,
+    RegistryUpdateKind,
+    RequestArrived,
+    Send,
+    SetTimer,
+    TimerFired,
+)
+
+SERVERS = 12
+CORES = 4
+LOAD = 0.6  # of what the servers bear
+DEADLINE_TARGETS = 4
+WORK_TARGETS = 0.04  # mean service time, in latency targets
+WARM_UP_TARGETS = 6.0
+FAULT_TARGETS = 6.0
+RECOVERY_TARGETS = 4.0  # so long after the servers are well again they are made use of
+MEASURED_TARGETS = 3.0
+SLOWDOWN = 50.0  # of the servers during the fault
+ADMITTED_LEAST = 0.9  # of the requests, once recovered
+
+
+@dataclass(slots=True)
+class Job:
+    """An attempt at a server."""
+
+    request: int
+    balancer: int
+    sent_at: int
+    until: int
+
+
+@dataclass(slots=True)
+class JobDone:
+    """A server has done the work of an attempt."""
+
+    server: str
+    job: Job
+
+
+@dataclass(slots=True)
+class QueueServer:
+    """Serves so many jobs at once, in the order they came, and drops those whose time is up."""
+
+    free_cores: int = CORES
+    waiting: deque[Job] = field(default_factory=deque)
+
+
+class Fleet:
+    """Balancers and servers on one clock; the servers are slow from `fault_at` to `well_at`."""
+
+    def __init__(self, balancers: int, target_us: int, seed: int) -> None:
+        self.target_us = target_us
+        self.chance = random.Random(seed)
+        self.balancers = [Balancer(settings(target_us, balancers), each) for each in range(balancers)]
+        self.servers = {name: QueueServer() for name in names(SERVERS)}
+        self.fault_at = START + int(WARM_UP_TARGETS * target_us)
+        self.well_at = self.fault_at + int(FAULT_TARGETS * target_us)
+        self.end_at = self.well_at + int((RECOVERY_TARGETS + MEASURED_TARGETS) * target_us)
+        self.order = itertools.count()
+        self.agenda: list[tuple[int, int, int, Event | JobDone]] = []
+        self.arrived: dict[int, int] = {}
+        self.answered: dict[int, tuple[int, Outcome | None]] = {}  # None: refused or failed
+        self.out: set[int] = set()
+
+    def add(self, at: int, balancer: int, event: Event | JobDone) -> None:
+        heapq.heappush(self.agenda, (at, next(self.order), balancer, event))
+
+    def play(self) -> None:
+        listed = [Endpoint(name, zone="east") for name in self.servers]
+        for index in range(len(self.balancers)):
+            self.add(START, index, RegistryUpdated(RegistryUpdateKind.SNAPSHOT, listed, 1))
+        mean_gap_us = WORK_TARGETS * self.target_us / (LOAD * SERVERS * CORES)
+        moment, ident = float(START), 0
+        while (moment := moment + self.chance.expovariate(1.0 / mean_gap_us)) < self.end_at:
+            ident += 1
+            self.arrived[ident] = int(moment)
+            arrival = RequestArrived(ident, "look", None, None, DEADLINE_TARGETS * self.target_us)
+            self.add(int(moment), self.chance.randrange(len(self.balancers)), arrival)
+        while self.agenda:
+            now, _, balancer, event = heapq.heappop(self.agenda)
+            if isinstance(event, JobDone):
+                self.core_freed(now, event)
+                continue
+            if isinstance(event, AttemptEnded):
+                if event.request not in self.out:
+                    continue
+                self.out.discard(event.request)
+                self.answered[event.request] = (now, event.outcome)
+            for action in self.balancers[balancer].handle(now, event):
+                self.carry_out(now, balancer, action)
+
+    def carry_out(self, now: int, balancer: int, action: Action) -> None:
+        if isinstance(action, SetTimer):
+            self.add(now + action.in_us, balancer, TimerFired(action.token))
+        elif isinstance(action, (Refuse, Fail)):
+            self.answered.setdefault(action.request, (now, None))
+        elif isinstance(action, Send):
+            job = Job(action.request, balancer, now, action.until)
+            self.out.add(job.request)
+            left_us = job.until - now
+            expired = AttemptEnded(job.request, 0, action.server, Outcome.EXPIRED, left_us, answered=True)
+            self.add(job.until, balancer, expired)
+            server = self.servers[action.server]
+            server.waiting.append(job)
+            self.start_work(now, action.server)
+
+    def start_work(self, now: int, name: str) -> None:
+        server = self.servers[name]
+        while server.free_cores and server.waiting:
+            job = server.waiting.popleft()
+            if job.until <= now:
+                continue
+            server.free_cores -= 1
+            work_us = self.chance.expovariate(1.0 / (WORK_TARGETS * self.target_us))
+            if self.fault_at <= now < self.well_at:
+                work_us = min(work_us * SLOWDOWN, self.well_at - now + work_us)
+            self.add(now + int(work_us), job.balancer, JobDone(name, job))
+
+    def core_freed(self, now: int, done: JobDone) -> None:
+        self.servers[done.server].free_cores += 1
+        job = done.job
+        if now < job.until:
+            elapsed_us = now - job.sent_at
+            answer = AttemptEnded(job.request, 0, done.server, Outcome.DELIVERED, elapsed_us, answered=True)
+            self.add(now, job.balancer, answer)
+        self.start_work(now, done.server)
+
+    def served(self, since: int, until: int) -> float:
+        """The part of the requests that came in this span and were answered within the target."""
+        came = [ident for ident, at in self.arrived.items() if since <= at < until]
+        in_time = 0
+        for ident in came:
+            at, outcome = self.answered[ident]
+            in_time += outcome is Outcome.DELIVERED and at - self.arrived[ident] <= self.target_us
+        return in_time / len(came)
+
+
+def settings(target_us: int, fleet: int) -> Settings:
+    look = {
+        "name": "look",
+        "deadline_us": DEADLINE_TARGETS * target_us,
+        "latency_target_us": target_us,
+        "worth": 1,
+        "idempotency": "safe",
+    }
+    limits = {"max_attempts": 1}
+    return Settings.from_mapping(
+        {"classes": [look], "zone": "east", "group_size": fleet, "limits": limits, "discovery": "pushed"}
+    )
+
+
+@pytest.mark.parametrize("target_us", [100 * MS, 2_500 * MS])
+@pytest.mark.parametrize("balancers", [20, 60, 200])
+def test_a_fleet_admits_what_its_servers_bear_soon_after_they_are_well(
+    balancers: int, target_us: int
+) -> None:
+    fleet = Fleet(balancers, target_us, seed=1)
+    fleet.play()
+    settled_at = fleet.fault_at - int(WARM_UP_TARGETS / 2 * target_us)
+    recovered_at = fleet.well_at + int(RECOVERY_TARGETS * target_us)
+    assert fleet.served(settled_at, fleet.fault_at) >= ADMITTED_LEAST
+    assert fleet.served(recovered_at, fleet.end_at) >= ADMITTED_LEAST
--- a/topazbank/balancer.py
+++ b/topazbank/balancer.py
@@ -146,6 +146,7 @@
     allowance: float = 0.0  # of a cold server: what may be sent to it now, in requests of mean cost
     allowance_at: int = 0
     in_flight: int = 0
+    timely: int = 0  # of these, those out for less than their latency target
     idle: int = 0  # connections that are open and carry nothing, by this balancer's own reckoning
     idle_since: int = 0
     close_due: int = 0  # when they are to be closed
@@ -172,6 +173,7 @@
     absent_before: int  # how long the balancer had stalled by then
     answers_before: int  # how many answers had come by then, from all servers
     pending: bool = True
+    timely: bool = True  # until its latency target has passed: from then on it counts as load no more
     may_have_run: bool = True  # until an outcome proves that it did not
     started: bool = False
     held: float | None = None  # what its server held when it was sent, by a probe
@@ -267,7 +269,8 @@
         self._failed_calls = 0
         self._ask_due: int | None = None  # when discovery is asked next; None while the list is followed
         self._pending = 0  # attempts out
-        self._stuck = 0  # of these, at ejected servers
+        self._timely = 0  # of these, those out for less than their latency target
+        self._stuck = 0  # of the timely ones, those at ejected servers
         self._ghosts: list[int] = []  # when each attempt given up on stops counting, soonest first
         self._ejected: list[Server] = []
         self._remote = 1.0  # odds of a server in another zone, as of _remote_at
@@ -294,6 +297,8 @@
         self._bound = False  # whether the window refused anything since it was last sized
         self._mean_load = 0.0  # own requests in flight, averaged
         self._load_at = 0
+        self._measure_due = 0  # when the next request is let in to measure, whatever the window
+        self._quick = False  # whether an answer was quick and nothing was sent since
         self._sized_at = 0
         self._sized_from = 0
         self._mix: dict[tuple[str, str | None], Mix] = {}
@@ -420,7 +425,7 @@
         """A server that has gone is no longer ejected: it would keep others from that; nor kept for long."""
         if server.ejected_until is not None:
             self._ejected.remove(server)
-            self._stuck -= server.in_flight
+            self._stuck -= server.timely
             server.ejected_until = None
         if not self._busy(server) and server.probed_at is None:
             del self._servers[server.name], self._numbered[server.number]
@@ -589,13 +594,14 @@
         self._window = max(self._window * change, min(borne, self._window), LEAST_WINDOW)
 
     def _load(self) -> int:
-        """Own requests in flight, with those given up on, at servers that are not ejected.
+        """Own requests that may still be answered in time, at servers that are not ejected.
 
-        Running counts, not a sum over the list: it is asked for at every event.
+        Late ones have told what they can tell: were they counted up to their deadline, the window would stay
+        full long after other servers are well.  Running counts: it is asked for at every event.
         """
         while self._ghosts and self._ghosts[0] <= self._now:
             heapq.heappop(self._ghosts)
-        return self._pending - self._stuck + len(self._ghosts)
+        return self._timely - self._stuck + len(self._ghosts)
 
     def _fill(self) -> float:
         """How much of the window is taken; where it holds few, the mean counts, as two at once are chance."""
@@ -615,11 +621,13 @@
         if self._probes > 1:
             request.standing = self._standing(mine)
             return False  # probes will tell
+        if self._quick:
+            return False  # room was found, so the next request may look for more
         if max(self._arrivals.per_us(self._now) * self._longest_aim, self._load()) < MANY / 2:
             return self._sheds_by_count(self._standing(mine))
         fill = self._fill()
-        if fill <= FREE:
-            return False
+        if fill <= FREE or self._now >= self._measure_due:
+            return False  # also a full window must measure
         pressure = STEEP * (fill - FREE) / (1.0 - FREE)
         let_in = math.exp(-SLANT * pressure * (1.0 - self._standing(mine)))
         if fill < 1.0 and self._random.random() < let_in:
@@ -908,8 +916,12 @@
         attempt = Attempt(len(request.attempts), server, self._now, self._absent_us, self._answers)
         request.attempts.append(attempt)
         server.in_flight += 1
+        server.timely += 1
         server.idle = max(server.idle - 1, 0)
         self._pending += 1
+        self._timely += 1
+        self._measure_due = self._now + request.kind.latency_target_us
+        self._quick = False
         if server.ejected_until is not None:
             server.trial = attempt
             self._stuck += 1
@@ -992,8 +1004,8 @@
             request.queue.rests_until = self._now + self._settings.rules.key_rest_us
         attempt.server.in_flight -= 1
         self._pending -= 1
-        if attempt.server.ejected_until is not None:
-            self._stuck -= 1
+        timely = attempt.timely
+        self._leave_load(attempt)
         if event.outcome in _CONNECTED:
             self._connection_idle(attempt.server)
         self._judge(request, attempt, event.outcome)
@@ -1005,7 +1017,7 @@
                 self._too_late.add(self._now, 1.0)
             until = self._now + int(GHOST_LIFE * event.elapsed_us)
             attempt.server.ghosts.append(until)
-            if attempt.server.ejected_until is None:
+            if timely and attempt.server.ejected_until is None:
                 heapq.heappush(self._ghosts, until)
             if event.elapsed_us > self._usual(request) * attempt.server.pace and not self._is_behind():
                 self._pace(attempt.server, request, event.elapsed_us)
@@ -1020,8 +1032,10 @@
                 most = LOST_SPENT if expected is None else max(FIT_CLIP * expected, FIT_FLOOR)
                 self._by_held.add(attempt.held, min(event.elapsed_us / request.kind.latency_target_us, most))
             self._time(attempt.server, request, event.elapsed_us)
+            spent = event.elapsed_us / request.kind.latency_target_us
             if not attempt.felt:
-                self._feel(event.elapsed_us / request.kind.latency_target_us)
+                self._feel(spent)
+            self._quick = self._quick or spent <= AIM_SPENT
             attempt.server.turned_away.pop(request.flow, None)
         elif event.outcome is Outcome.FULL and not self._turned_away(request, attempt.server, event.report):
             self._feel(LOST_SPENT)
@@ -1040,6 +1054,14 @@
                 self._finish(request)
         self._forget_if_over(request)
 
+    def _leave_load(self, attempt: Attempt) -> None:
+        """Count the attempt as load no more: it has ended, or its latency target has passed."""
+        if attempt.timely:
+            attempt.timely = False
+            attempt.server.timely -= 1
+            self._timely -= 1
+            self._stuck -= attempt.server.ejected_until is not None
+
     def _turned_away(self, request: Request, server: Server, report: Mapping[str, float] | None) -> bool:
         """Learn from a full answer; say whether the server had room, so that it tells of no overload.
 
@@ -1095,6 +1117,8 @@
         waited = self._now - attempt.sent_at - (self._absent_us - attempt.absent_before)
         if waited < request.kind.latency_target_us:
             self._schedule(self._now + request.kind.latency_target_us - waited, request.ident, attempt.index)
+        else:
+            self._leave_load(attempt)
         enough = max(SILENCE * self._patience(request, server), SILENT_AIMS * request.kind.latency_target_us)
         if silent and waited < enough:
             self._schedule(self._now + int(enough) - waited, request.ident, attempt.index)
@@ -1157,7 +1181,7 @@
             if len(self._ejected) + 1 > most * min(len(self._ready), self._reach()):
                 return
             self._ejected.append(server)
-            self._stuck += server.in_flight
+            self._stuck += server.timely
             self._actions.append(Log(f"ejected {server.name}: {reason}"))
         aims = min(EJECT_AIMS * 2**server.ejections, EJECT_AIMS_MOST)
         server.ejections = min(server.ejections + 1, 8)
@@ -1167,7 +1191,7 @@
     def _readmit(self, server: Server) -> None:
         server.ejected_until = None
         self._ejected.remove(server)
-        self._stuck -= server.in_flight
+        self._stuck -= server.timely
         server.ejections = 0
         server.strikes = 0
         if server.cold_since is not None and server.cold_since != server.started_at:
