Add the scale rig's frame: experiments, results, reports, logs and processes

python -m scale runs experiment files (TOML, checked by pydantic) and turns their results (JSON lines with commit and seed) into a table and plots. No experiment kind yet.

--- /dev/null
+++ b/scale/cli.py
@@ -0,0 +1,72 @@
+"""The rig's command line: `python -m scale`."""
+
+from __future__ import annotations
+
+import signal
+import sys
+from pathlib import Path
+from types import FrameType
+from typing import Annotated
+
+import structlog
+import typer
+
+from scale.errors import ScaleError
+from scale.kinds import load_experiment, run_experiment
+from scale.logs import configure_logs
+from scale.report import format_table, write_plots
+from scale.results import ResultWriter, read_results
+
+EXIT_BAD_INPUT = 2
+
+app = typer.Typer(no_args_is_help=True, add_completion=False, help="Measure the sidecar at fleet size.")
+log = structlog.get_logger()
+
+
+@app.callback()
+def common(verbose: Annotated[bool, typer.Option(help="Log from debug level on.")] = False) -> None:
+    """Set up the logs for every command."""
+    configure_logs(verbose)
+
+
+@app.command()
+def run(
+    experiments: Annotated[list[Path], typer.Argument(help="Experiment files (TOML).")],
+    results: Annotated[Path, typer.Option(help="File that the figures are appended to, as JSON lines.")],
+) -> None:
+    """Run experiments one after another."""
+    checked = [load_experiment(path) for path in experiments]
+    for experiment in checked:
+        log.info("experiment started", experiment=experiment.name, kind=experiment.kind, seed=experiment.seed)
+        with ResultWriter(results, experiment) as writer:
+            run_experiment(experiment, writer)
+        log.info("experiment ended", experiment=experiment.name, results=str(results))
+
+
+@app.command()
+def report(
+    results: Annotated[list[Path], typer.Argument(help="Results files (JSON lines).")],
+    plots: Annotated[Path | None, typer.Option(help="Folder for plots (PNG).")] = None,
+    against: Annotated[str, typer.Option(help="Label that plots have on their horizontal axis.")] = "servers",
+) -> None:
+    """Print results as a table, and plot them."""
+    measurements = read_results(results)
+    typer.echo(format_table(measurements))
+    if plots is not None:
+        for path in write_plots(measurements, against, plots):
+            log.info("plot written", path=str(path))
+
+
+def _interrupt(number: int, frame: FrameType | None) -> None:
+    raise KeyboardInterrupt
+
+
+def main() -> int:
+    """Run the command; bad input is one line on standard error and exit code 2."""
+    signal.signal(signal.SIGTERM, _interrupt)
+    try:
+        app()
+    except ScaleError as error:
+        print(f"scale: {error}".replace("\n", " "), file=sys.stderr)
+        return EXIT_BAD_INPUT
+    return 0
--- /dev/null
+++ b/scale/experiment.py
@@ -0,0 +1,46 @@
+"""Experiment files: a TOML file names what is measured, at which size, for how long and with which seed."""
+
+from __future__ import annotations
+
+import tomllib
+from pathlib import Path
+from typing import Any, TypeVar
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from scale.errors import ExperimentError
+
+
+class Experiment(BaseModel):
+    """What every kind of experiment has; each kind adds its sizes and faults in a subclass."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    name: str = Field(min_length=1, max_length=80)
+    kind: str
+    seed: int = Field(ge=0)
+    duration_s: float = Field(gt=0.0, le=3_600.0)
+
+
+AnyExperiment = TypeVar("AnyExperiment", bound=Experiment)
+
+
+def read_experiment_file(path: Path) -> dict[str, Any]:
+    """Read an experiment file; raise ExperimentError if it cannot be read or is not TOML."""
+    try:
+        with path.open("rb") as file:
+            return tomllib.load(file)
+    except OSError as error:
+        raise ExperimentError(f"{path}: {error.strerror}") from error
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise ExperimentError(f"{path}: not TOML: {error}") from error
+
+
+def validate_experiment(model: type[AnyExperiment], given: dict[str, Any]) -> AnyExperiment:
+    """Check an experiment against its model; raise ExperimentError, naming the first key at fault."""
+    try:
+        return model.model_validate(given)
+    except ValidationError as error:
+        first = error.errors()[0]
+        key = ".".join(str(part) for part in first["loc"]) or "experiment"
+        raise ExperimentError(f"{key}: {first['msg']}") from error
--- /dev/null
+++ b/scale/kinds.py
@@ -0,0 +1,37 @@
+"""The kinds of experiment that the rig knows, by the `kind` key of an experiment file."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from scale.errors import ExperimentError
+from scale.experiment import Experiment, read_experiment_file, validate_experiment
+from scale.results import ResultWriter
+
+
+@dataclass(frozen=True, slots=True)
+class ExperimentKind:
+    """How experiments of one kind are described and run."""
+
+    model: type[Experiment]
+    run: Callable[[Any, ResultWriter], None]
+
+
+KINDS: Mapping[str, ExperimentKind] = {}
+
+
+def load_experiment(path: Path) -> Experiment:
+    """Read and check an experiment file; raise ExperimentError in one line that names the key."""
+    given = read_experiment_file(path)
+    kind = KINDS.get(str(given.get("kind")))
+    if kind is None:
+        raise ExperimentError(f"kind: one of {', '.join(sorted(KINDS)) or 'none yet'} is needed")
+    return validate_experiment(kind.model, given)
+
+
+def run_experiment(experiment: Experiment, writer: ResultWriter) -> None:
+    """Run an experiment and write what it measures."""
+    KINDS[experiment.kind].run(experiment, writer)
--- /dev/null
+++ b/scale/results.py
@@ -0,0 +1,101 @@
+"""Results: one JSON line for each measured figure, with the commit and the seed that gave it."""
+
+from __future__ import annotations
+
+import subprocess
+from collections.abc import Iterable, Mapping
+from pathlib import Path
+from types import TracebackType
+from typing import Self
+
+from pydantic import BaseModel, ConfigDict, ValidationError
+
+from scale.errors import ResultsError
+from scale.experiment import Experiment
+
+Label = str | float | int | bool
+_REPOSITORY = Path(__file__).resolve().parent.parent
+
+
+class Measurement(BaseModel):
+    """One measured figure."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    experiment: str
+    kind: str
+    seed: int
+    commit: str  # with "-dirty" behind it where the work tree differs from the commit
+    role: str  # what was measured: "sidecar", "discovery", "server", "call graph", ...
+    metric: str
+    value: float
+    unit: str
+    labels: dict[str, Label] = {}  # the point that was measured: sizes, faults, the baseline's name
+
+
+def current_commit(repository: Path = _REPOSITORY) -> str:
+    """The commit that is checked out, abbreviated; "unknown" outside a git checkout."""
+
+    def git(*arguments: str) -> str:
+        command = ["git", "-C", str(repository), *arguments]
+        return subprocess.run(command, capture_output=True, text=True, check=True).stdout.strip()
+
+    try:
+        commit = git("rev-parse", "--short=9", "HEAD")
+        changed = git("status", "--porcelain", "--untracked-files=no")
+    except (OSError, subprocess.CalledProcessError):
+        return "unknown"
+    return f"{commit}-dirty" if changed else commit
+
+
+class ResultWriter:
+    """Appends the measurements of one experiment to a file, each written through at once."""
+
+    def __init__(self, path: Path, experiment: Experiment, commit: str | None = None) -> None:
+        self._path = path
+        self._experiment = experiment
+        self._commit = current_commit() if commit is None else commit
+
+    def __enter__(self) -> Self:
+        self._path.parent.mkdir(parents=True, exist_ok=True)
+        self._file = self._path.open("a", encoding="utf-8")
+        return self
+
+    def __exit__(
+        self, kind: type[BaseException] | None, error: BaseException | None, trace: TracebackType | None
+    ) -> None:
+        self._file.close()
+
+    def add(
+        self, role: str, metric: str, value: float, unit: str, labels: Mapping[str, Label] | None = None
+    ) -> None:
+        """Write one figure."""
+        measurement = Measurement(
+            experiment=self._experiment.name,
+            kind=self._experiment.kind,
+            seed=self._experiment.seed,
+            commit=self._commit,
+            role=role,
+            metric=metric,
+            value=value,
+            unit=unit,
+            labels=dict(labels or {}),
+        )
+        self._file.write(measurement.model_dump_json() + "\n")
+        self._file.flush()
+
+
+def read_results(paths: Iterable[Path]) -> list[Measurement]:
+    """Read results files; raise ResultsError, naming file and line, on anything else."""
+    measurements = []
+    for path in paths:
+        try:
+            lines = path.read_text(encoding="utf-8").splitlines()
+        except (OSError, UnicodeDecodeError) as error:
+            raise ResultsError(f"{path}: cannot be read: {error}") from error
+        for number, line in enumerate(lines, start=1):
+            try:
+                measurements.append(Measurement.model_validate_json(line))
+            except ValidationError as error:
+                raise ResultsError(f"{path}:{number}: not a measurement") from error
+    return measurements
