--- a/tests/scale/test_rig.py
+++ b/tests/scale/test_rig.py
@@ -71,12 +71,13 @@
 
 
 def test_processes_are_ended_when_an_experiment_fails() -> None:
-    with pytest.raises(RuntimeError), ProcessGroup() as group:
-        process = group.start(WAIT_FOREVER, stdout=subprocess.PIPE)
-        output = process.popen.stdout
-        assert output is not None
-        output.readline()
-        assert process.is_running() and process.usage().memory_bytes > 0
+    group = ProcessGroup()
+    process = group.start(WAIT_FOREVER, stdout=subprocess.PIPE)
+    output = process.popen.stdout
+    assert output is not None
+    output.readline()
+    assert process.is_running() and process.usage().memory_bytes > 0
+    with pytest.raises(RuntimeError), group:
         raise RuntimeError
     assert not process.is_running()
     assert output.read() == b""
