Count no idle client as load after the event loop lagged

Cause: _is_swamped counts each connection that is neither resting nor leaving as one that carries a request, also those that have never sent a byte. Seen with the program stopped by SIGSTOP for 0.2 s under 1,600 idle clients: six requests in a row refused 503 over 0.3 s, then served; with no pause all eight served.

Test: test_idle_clients_do_not_count_as_load_after_the_program_lagged, which got 503 without the change.

--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -28,7 +28,7 @@
 
 from topazbank import balancer
 from topazbank.interface import Action, Event, Refuse, RequestArrived, ServerState
-from topazbank.net.frontend import ClientConnection, Frontend, Hooks
+from topazbank.net.frontend import _LIMITS_S, ClientConnection, Frontend, Hooks, Phase
 
 
 def served(*_: object) -> bytes:
@@ -494,6 +494,38 @@
     play(scene())
 
 
+def test_idle_clients_do_not_count_as_load_after_the_program_lagged(monkeypatch: pytest.MonkeyPatch) -> None:
+    # A table full of connections that say nothing is no sign of requests that the CPU can't keep up with.
+    monkeypatch.setattr("topazbank.net.frontend._BUSY_MORE", 1.0)  # so that a late sweep is not forgotten
+    monkeypatch.setitem(_LIMITS_S, Phase.WAITING, 600.0)
+
+    async def scene() -> None:
+        async with world(served, sockets=144) as w:
+            frontend = w.sidecar.frontend
+            assert frontend._most == 40
+            clients = [await asyncio.open_connection(*frontend.address) for _ in range(frontend._most)]
+            await until(lambda: len(frontend.connections) == frontend._most)
+
+            def lags() -> bool:
+                time.sleep(0.15)  # longer than it takes to the next sweep
+                return frontend._most_busy == 32
+
+            await until(lags)
+            status, _, body = await w.ask(kind="pay", body=b"x")
+            assert (status, body) == (200, b"served")
+            # What has begun to come does count.
+            for _, writer in clients:
+                writer.write(request()[:20])
+            begun = frontend._phases[Phase.WAITING]
+            await until(lambda: len([each for each in begun if each.has_begun()]) >= 32)
+            await until(lambda: not frontend._silent)
+            assert frontend._is_swamped()
+            for _, writer in clients:
+                writer.close()
+
+    play(scene())
+
+
 def test_room_is_made_only_where_a_connection_waits() -> None:
     # What fills the table is no reason to close what was just opened: no further connection has come.
     async def scene() -> None:
--- a/topazbank/net/frontend.py
+++ b/topazbank/net/frontend.py
@@ -257,8 +257,11 @@
 
     def is_idle(self) -> bool:
         """Whether it may be closed: no request is held, begun or waiting unread."""
-        begun = self._head is not None or self._h11.trailing_data[0]
-        return self.phase in (Phase.WAITING, Phase.RESTING) and not begun and self.is_quiet()
+        return self.phase in (Phase.WAITING, Phase.RESTING) and not self.has_begun() and self.is_quiet()
+
+    def has_begun(self) -> bool:
+        """Whether a part of a request has been read that is not answered yet."""
+        return self._head is not None or bool(self._h11.trailing_data[0])
 
     def close(self) -> None:
         if self._transport is not None:
@@ -314,7 +317,7 @@
                 self.abort()  # it was answered already
             else:
                 self._reject(BadRequest(500, "internal error"))
-        if self.phase is Phase.RESTING and (self._head is not None or self._h11.trailing_data[0]):
+        if self.phase is Phase.RESTING and self.has_begun():
             self._frontend.move(self, Phase.WAITING)
 
     def _next_event(self) -> bool:
@@ -441,6 +444,7 @@
         # The connections of each phase and since when they are in it, the longest first; `_most` in all.
         self._phases: dict[Phase, dict[ClientConnection, float]] = {phase: {} for phase in Phase}
         self._most_busy = float(most)  # connections that may carry requests: fewer while all is late
+        self._silent: set[ClientConnection] = set()  # of those WAITING, as of the last late sweeps
         self._sweep_due = 0.0
         self._accepting = False
         self._accepted: set[socket.socket] = set()  # whose connections are not made yet
@@ -556,8 +560,18 @@
         late = loop.time() > self._sweep_due + _LAG_MOST_S
         self._most_busy *= _BUSY_LESS if late else _BUSY_MORE
         self._most_busy = max(_LEAST_BUSY, min(self._most_busy, self._most))
+        self._silent = self._find_silent() if self._most_busy < self._most else set()
         self._sweep_later()
 
+    def _find_silent(self) -> set[ClientConnection]:
+        """The connections that have had time to send a first byte and have not.
+
+        The event loop reads what has come ahead of its timers, so nothing that waits unread hides here.
+        """
+        grown = asyncio.get_running_loop().time() - _YOUNG_S
+        waiting = self._phases[Phase.WAITING].items()
+        return {each for each, since in waiting if since < grown and not each.has_begun()}
+
     def _sweep_later(self) -> None:
         self._sweep_due = asyncio.get_running_loop().time() + _SWEEP_S
         asyncio.get_running_loop().call_at(self._sweep_due, self._sweep)
@@ -570,7 +584,7 @@
         a few would be lost.  Harm: a short pause of the machine under many connections refuses some too.
         """
         at_rest = len(self._phases[Phase.RESTING]) + len(self._phases[Phase.LEAVING])
-        return self._count() - at_rest >= self._most_busy
+        return self._count() - at_rest - len(self._silent) >= self._most_busy
 
     def opened(self, connection: ClientConnection) -> None:
         self._phases[connection.phase][connection] = asyncio.get_running_loop().time()
@@ -578,6 +592,7 @@
     def move(self, connection: ClientConnection, phase: Phase) -> None:
         """Note a connection's phase; one that it is in already goes on."""
         if connection.phase is not phase and self._phases[connection.phase].pop(connection, None) is not None:
+            self._silent.discard(connection)
             connection.phase = phase
             self.opened(connection)
             if phase is Phase.RESTING and len(self._phases[phase]) > self._most_at_rest:
@@ -588,6 +603,7 @@
 
     def lost(self, connection: ClientConnection) -> None:
         self._phases[connection.phase].pop(connection, None)
+        self._silent.discard(connection)
 
     def drain(self) -> None:
         """Close what is at rest while new connections are still taken: a request that crosses comes again."""
