--- a/tests/test_life.py
+++ b/tests/test_life.py
@@ -338,7 +338,7 @@
             down.say(2, [server.entry(status="left"), other.entry()])
             for _ in range(9):
                 down.say(2, [])
-            # Between these calls 0.1 s pass on the program's own clock: it has found the silent clients since.
+            # Between these calls 0.1 s pass on the program's own clock: it has found silent clients since.
             await until(lambda: sum("after=2&" in each for each in down.targets) >= 4)
             assert (await ask(listen, request("pay", budget="500")))[2] == b"other"  # on a new connection
             assert (await ask(listen, request(path="/health/ready")))[0] == 200
