Add a stand-in for discovery to the scale rig

Sidecars are to be measured against a registry of full size, and an outside system is met through its protocol, by a stand-in of this repository.

--- /dev/null
+++ b/scale/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins that this project writes itself for the systems a sidecar talks to."""
--- /dev/null
+++ b/scale/standins/fleet.py
@@ -0,0 +1,31 @@
+"""Made-up endpoints of a fleet: as many as wanted, spread over zones, the same for the same seed."""
+
+from __future__ import annotations
+
+import random
+
+from scale.standins.change_log import Endpoint
+
+_PORT = 8443
+_SIZES = ("m1", "m2")  # types of machine
+_PER_GROUP = 35
+
+
+def zone_name(index: int) -> str:
+    """The name of a zone."""
+    return f"z{index:02d}"
+
+
+def make_endpoints(count: int, zones: int, seed: int) -> list[Endpoint]:
+    """Endpoints with addresses of their own, in turn in each zone; nothing listens at them."""
+    names = random.Random(seed).sample(range(2**32), count)
+    return [
+        Endpoint(
+            name=f"s-{name:08x}",
+            address=f"10.{index >> 16}.{index >> 8 & 255}.{index & 255}:{_PORT}",
+            zone=zone_name(index % zones),
+            type=_SIZES[index % len(_SIZES)],
+            group=index // _PER_GROUP,
+        )
+        for index, name in enumerate(names)
+    ]
--- /dev/null
+++ b/tests/scale/test_registry_standin.py
@@ -0,0 +1,210 @@
+"""The stand-in for discovery, against the registry's protocol."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+from collections.abc import AsyncIterator
+from typing import Any
+
+import pytest
+
+from scale.standins.change_log import ChangeLog, Endpoint, EndpointStatus
+from scale.standins.fleet import make_endpoints
+from scale.standins.registry import Address, Availability, RegistryServer
+from topazbank.net.discovery import parse_registry
+
+PATIENCE_S = 20.0
+ENDPOINTS = [Endpoint("s-1", "10.0.0.1:80", "a"), Endpoint("s-2", "10.0.0.2:80", "b", weight=2.0)]
+
+
+@contextlib.asynccontextmanager
+async def registry(log: ChangeLog, listeners: int = 1) -> AsyncIterator[tuple[RegistryServer, list[Address]]]:
+    server = RegistryServer(log)
+    try:
+        async with asyncio.timeout(PATIENCE_S):
+            yield server, await server.start(listeners)
+    finally:
+        await server.stop()
+
+
+async def send(address: Address, text: str) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    reader, writer = await asyncio.open_connection(*address)
+    writer.write(text.encode())
+    return reader, writer
+
+
+def call(query: str = "", close: bool = True) -> str:
+    connection = "Connection: close\r\n" if close else ""
+    return f"GET /registry/instances{query} HTTP/1.1\r\nHost: d\r\n{connection}\r\n"
+
+
+async def read_answer(reader: asyncio.StreamReader) -> tuple[int, Any]:
+    head = (await reader.readuntil(b"\r\n\r\n")).decode().lower()
+    length = int(head.partition("content-length: ")[2].partition("\r\n")[0])
+    body = await reader.readexactly(length)
+    return int(head.split(" ")[1]), json.loads(body) if body else None
+
+
+async def ask(address: Address, query: str = "") -> tuple[int, Any]:
+    reader, writer = await send(address, call(query))
+    try:
+        answer = await read_answer(reader)
+        assert await reader.read() == b""  # closed, as asked for
+        return answer
+    finally:
+        writer.close()
+
+
+async def until_watching(server: RegistryServer, count: int) -> None:
+    while server.counts.watching != count:
+        await asyncio.sleep(0)
+
+
+def names(told: Any) -> list[str]:
+    return [each["name"] for each in told["endpoints"]]
+
+
+async def check_snapshot_and_delta() -> None:
+    log = ChangeLog(ENDPOINTS)
+    async with registry(log) as (server, [address]):
+        status, told = await ask(address)
+        assert (status, told["index"], told["snapshot"], names(told)) == (200, 1, True, ["s-1", "s-2"])
+        heard = parse_registry(told)
+        assert [(line.server.zone, line.server.nominal) for line in heard.lines] == [("a", 1.0), ("b", 2.0)]
+
+        log.drain(["s-1"])
+        log.remove(["s-1"])
+        log.restart(["s-2"], since_ms=7)
+        _, told = await ask(address, "?after=1&wait_ms=60000")
+        assert (told["index"], told["snapshot"], sorted(names(told))) == (4, False, ["s-1", "s-2"])
+        by_name = {each["name"]: each for each in told["endpoints"]}
+        assert by_name["s-1"]["status"] == "left"
+        assert by_name["s-2"]["since_ms"] == 7
+        assert (await ask(address))[1]["endpoints"] == [by_name["s-2"]]
+        counts = server.counts
+        assert (counts.calls, counts.connections, counts.snapshots, counts.deltas) == (3, 3, 2, 1)
+        assert counts.bytes_out > counts.bytes_in > 0
+
+
+def test_snapshot_and_delta_are_told_as_in_the_protocol() -> None:
+    asyncio.run(check_snapshot_and_delta())
+
+
+async def check_watch() -> None:
+    log = ChangeLog(ENDPOINTS)
+    async with registry(log) as (server, [address]):
+        watch = asyncio.create_task(ask(address, "?after=1&wait_ms=60000"))
+        await until_watching(server, 1)
+        log.add(Endpoint("s-3", "10.0.0.3:80"))
+        status, told = await watch
+        assert (status, told["index"], names(told)) == (200, 2, ["s-3"])
+        status, told = await ask(address, "?after=2&wait_ms=1")  # nothing new: it ends by itself
+        assert (status, told) == (200, {"index": 2, "snapshot": False, "endpoints": []})
+        assert (server.counts.empty, server.counts.watching) == (1, 0)
+
+
+def test_watch_waits_for_a_change_or_its_time() -> None:
+    asyncio.run(check_watch())
+
+
+def test_log_that_does_not_reach_back_gives_a_snapshot() -> None:
+    log = ChangeLog(ENDPOINTS, length=3)
+    for since_ms in (1, 2, 3, 4):
+        log.restart(["s-1"], since_ms)
+    assert not log.since(2).is_snapshot
+    assert log.since(1).is_snapshot
+    assert log.since(log.version + 1).is_snapshot  # of a registry that was set back
+    log.commit(ENDPOINTS * 2)  # more than the log holds
+    assert log.since(log.version - 1).is_snapshot
+    assert not log.since(log.version).is_snapshot
+
+
+def test_registry_that_lost_its_log_tells_all_anew() -> None:
+    log = ChangeLog(ENDPOINTS)
+    log.forget_changes()
+    assert log.since(1).is_snapshot
+    assert not log.since(log.version).is_snapshot
+
+
+def test_answers_are_serialized_once_a_version() -> None:
+    log = ChangeLog(ENDPOINTS)
+    assert log.snapshot() is log.snapshot()
+    first = log.snapshot()
+    log.restart(["s-1"], 1)
+    assert log.since(1) is log.since(1)
+    assert log.snapshot() is not first
+    assert log.endpoint("s-1").status is EndpointStatus.ACTIVE
+
+
+async def check_outage() -> None:
+    async with registry(ChangeLog(ENDPOINTS)) as (server, [address]):
+        watch = asyncio.create_task(ask(address, "?after=1&wait_ms=60000"))
+        await until_watching(server, 1)
+        server.set_availability(Availability.DOWN)
+        assert (await watch)[0] == 503
+        assert (await ask(address))[0] == 503
+        server.set_availability(Availability.UP)
+        assert (await ask(address))[0] == 200
+        assert server.counts.refused == 2
+
+
+def test_outage_ends_watches_and_refuses_calls() -> None:
+    asyncio.run(check_outage())
+
+
+async def check_silence() -> None:
+    async with registry(ChangeLog(ENDPOINTS), listeners=2) as (server, [first, second]):
+        server.set_silent(1, True)
+        reader, writer = await send(second, call())
+        assert (await ask(first))[0] == 200
+        server.set_silent(1, False)
+        with pytest.raises((ConnectionError, asyncio.IncompleteReadError)):
+            await read_answer(reader)
+        assert (await ask(second))[0] == 200
+        writer.close()
+
+
+def test_silenced_listener_answers_nothing_until_it_is_back() -> None:
+    asyncio.run(check_silence())
+
+
+async def check_kept_connection() -> None:
+    log = ChangeLog(make_endpoints(4_900, zones=18, seed=1))
+    async with registry(log) as (server, [address]):
+        reader, writer = await send(address, call(close=False) + call("?after=1", close=False))
+        _, told = await read_answer(reader)
+        assert len(set(names(told))) == len({each["address"] for each in told["endpoints"]}) == 4_900
+        assert (await read_answer(reader))[1]["endpoints"] == []
+        assert (server.counts.connections, server.counts.calls) == (1, 2)
+        writer.close()
+
+
+def test_kept_connection_carries_calls_in_order() -> None:
+    asyncio.run(check_kept_connection())
+
+
+@pytest.mark.parametrize(
+    ("text", "status"),
+    [
+        ("POST /registry/instances HTTP/1.1\r\nHost: d\r\n\r\n", 405),
+        ("GET /registry HTTP/1.1\r\nHost: d\r\n\r\n", 404),
+        ("GET /registry/instances HTTP/1.1\r\n\r\n", 400),
+        ("GET /registry/instances HTTP/1.1\r\nHost: d\r\nContent-Length: 1\r\n\r\n", 400),
+        ("nonsense\r\n\r\n", 400),
+        (call("?after=x"), 400),
+        (call("?wait_ms=5"), 400),
+        (call("?after=1&wait_ms=-5"), 400),
+        ("GET /" + "x" * 9_000, 431),
+    ],
+)
+def test_anything_else_is_refused(text: str, status: int) -> None:
+    async def check() -> None:
+        async with registry(ChangeLog()) as (server, [address]):
+            reader, writer = await send(address, text)
+            assert (await read_answer(reader))[0] == status
+            assert server.counts.malformed == 1
+            writer.close()
+
+    asyncio.run(check())
