Measure control on real sockets: hollow and real sidecars at a registry

An experiment of kind 'control' starts the registry stand-in, processes with hollow sidecars (the real discovery client, balancer and server table) and real sidecars, varies servers, sidecars and the rate of changes, and carries out faults. 'slopes' fits lines through the results.

--- a/scale/cli.py
+++ b/scale/cli.py
@@ -16,6 +16,7 @@
 from scale.logs import configure_logs
 from scale.report import format_table, write_plots
 from scale.results import ResultWriter, read_results
+from scale.slopes import fit_slopes, format_slopes
 
 EXIT_BAD_INPUT = 2
 
@@ -57,6 +58,16 @@
             log.info("plot written", path=str(path))
 
 
+@app.command()
+def slopes(
+    results: Annotated[list[Path], typer.Argument(help="Results files (JSON lines).")],
+    against: Annotated[str, typer.Option(help="Label that was varied.")] = "servers",
+    at: Annotated[float, typer.Option(help="Size at which each line is worked out.")] = 4_900.0,
+) -> None:
+    """Fit a line through each metric against a size, and work it out at another size."""
+    typer.echo(format_slopes(fit_slopes(read_results(results), against), at))
+
+
 def _interrupt(number: int, frame: FrameType | None) -> None:
     raise KeyboardInterrupt
 
--- /dev/null
+++ b/scale/commands.py
@@ -0,0 +1,96 @@
+"""Commands to a process that the rig started: JSON lines over a loopback connection.
+
+The process prints one line, a `Ready`, once it listens; each command is then answered by one line.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import subprocess
+import sys
+from collections.abc import Callable
+from typing import TypeVar
+
+from pydantic import BaseModel, ConfigDict
+
+LINE_MOST = 64 * 1024 * 1024  # a commit of thousands of entries is one line
+_ANSWER_WITHIN_S = 120.0
+
+
+class Message(BaseModel):
+    """A command or an answer."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class Ready(Message):
+    """What a process prints when it takes commands."""
+
+    commands: tuple[str, int]
+    addresses: list[tuple[str, int]] = []
+
+
+class Done(Message):
+    """The answer to a command that gives no figures."""
+
+
+AnyMessage = TypeVar("AnyMessage", bound=Message)
+
+
+async def serve_commands(handle: Callable[[bytes], Message], addresses: list[tuple[str, int]]) -> None:
+    """Print a `Ready`, then answer the commands of one connection until it ends."""
+    ended = asyncio.Event()
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            while line := await reader.readline():
+                writer.write(handle(line).model_dump_json().encode() + b"\n")
+                await writer.drain()
+        finally:
+            writer.close()
+            ended.set()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0, limit=LINE_MOST)
+    try:
+        host, port = server.sockets[0].getsockname()
+        print(Ready(commands=(host, port), addresses=addresses).model_dump_json(), flush=True)
+        await ended.wait()
+    finally:
+        server.close()
+
+
+class CommandClient:
+    """Gives commands to a process, one at a time."""
+
+    def __init__(self, popen: subprocess.Popen[bytes]) -> None:
+        """Wait until the process takes commands; raise OSError if it ends first."""
+        assert popen.stdout is not None
+        line = popen.stdout.readline()
+        if not line:
+            raise OSError(f"process {popen.pid} ended before it took commands")
+        self.ready = Ready.model_validate_json(line)
+        self._socket = socket.create_connection(self.ready.commands, _ANSWER_WITHIN_S)
+        self._answers = self._socket.makefile("rb")
+
+    def ask(self, command: Message, answer: type[AnyMessage]) -> AnyMessage:
+        """Give a command and return its answer; raise OSError if there is none."""
+        self._socket.sendall(command.model_dump_json().encode() + b"\n")
+        line = self._answers.readline()
+        if not line:
+            raise OSError("the process ended its command connection")
+        return answer.model_validate_json(line)
+
+    def tell(self, command: Message) -> None:
+        """Give a command that has no figures to answer with."""
+        self.ask(command, Done)
+
+    def close(self) -> None:
+        """End the connection, and with it the process's work."""
+        self._answers.close()
+        self._socket.close()
+
+
+def python_command(module: str, *arguments: object) -> list[str]:
+    """The command line that runs a module of this repository."""
+    return [sys.executable, "-m", module, *(str(each) for each in arguments)]
--- /dev/null
+++ b/scale/control/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments on control: sidecars that follow a registry over real sockets."""
--- /dev/null
+++ b/scale/control/experiment.py
@@ -0,0 +1,65 @@
+"""What an experiment on control names: sizes, rates and faults."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+from typing import Annotated
+
+import psutil
+from pydantic import BaseModel, ConfigDict, Field, ValidationInfo, field_validator
+
+from scale.experiment import Experiment
+
+SERVERS_MOST = 20_000
+HOLLOW_MOST = 10_000
+REAL_MOST = 100
+ENTRY_BYTES = 1_700  # what an entry of the list takes in a hollow sidecar, measured
+SIDECAR_BYTES = 60_000  # and what it takes without any
+
+
+class FaultKind(StrEnum):
+    """What goes wrong, or is done, while sidecars follow the registry."""
+
+    DISCOVERY_DOWN = "discovery_down"  # calls are answered 503; it comes back with its change log
+    DISCOVERY_RESTARTED = "discovery_restarted"  # the same, and it comes back without its change log
+    DISCOVERY_OVERLOADED = "discovery_overloaded"  # calls wait, then are answered 503
+    DISCOVERY_MOVED = "discovery_moved"  # all sidecars are sent to another address at once
+    ZONE_LOST = "zone_lost"  # the servers of one zone leave in one change
+    RELEASE = "release"  # the servers of one service leave and come back, one after another
+    SIDECARS_RESTARTED = "sidecars_restarted"  # all hollow ones at once
+    SIDECARS_CUT_OFF = "sidecars_cut_off"  # half of the hollow ones hear nothing for a while
+
+
+class Fault(BaseModel):
+    """One fault; the next begins when this one's time and that of the watch after it are over."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    kind: FaultKind
+    lasts_s: float = Field(default=0.0, ge=0.0, le=600.0)
+    observed_s: float = Field(default=10.0, gt=0.0, le=600.0)  # at most so long after its end
+
+
+class ControlExperiment(Experiment):
+    """Sidecars that follow a registry, at each combination of the sizes and rates."""
+
+    servers: list[Annotated[int, Field(ge=2, le=SERVERS_MOST)]] = Field(min_length=1)
+    hollow_sidecars: list[Annotated[int, Field(ge=1, le=HOLLOW_MOST)]] = Field(min_length=1)
+    real_sidecars: int = Field(default=0, ge=0, le=REAL_MOST)
+    hollow_per_process: int = Field(default=250, ge=1, le=2_000)
+    changes_per_second: list[Annotated[float, Field(ge=0.0, le=1_000.0)]] = Field(min_length=1)
+    zones: int = Field(default=18, ge=1, le=1_000)
+    regions: int = Field(default=5, ge=1, le=100)
+    start_within_s: float = Field(default=3.0, ge=0.0, le=60.0)  # the hollow ones start spread over this
+    settle_s: float = Field(default=4.0, ge=0.0, le=60.0)  # between all being up to date and measuring
+    faults: tuple[Fault, ...] = ()
+
+    @field_validator("hollow_sidecars")
+    @classmethod
+    def _fits_in_memory(cls, hollow_sidecars: list[int], others: ValidationInfo) -> list[int]:
+        """Guard the machine: all lists together may take half of its memory at most."""
+        largest_list = ENTRY_BYTES * max(others.data.get("servers", [0]))
+        needed = max(hollow_sidecars) * (SIDECAR_BYTES + largest_list)
+        if needed > psutil.virtual_memory().total / 2:
+            raise ValueError(f"some {needed / 1e9:.1f} GB of lists are more than half of the memory")
+        return hollow_sidecars
--- /dev/null
+++ b/scale/control/faults.py
@@ -0,0 +1,122 @@
+"""The faults of an experiment on control: what each does, and which changes it is measured by."""
+
+from __future__ import annotations
+
+import random
+import time
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+
+from scale.control.experiment import Fault, FaultKind
+from scale.control.measure import Fleet
+from scale.control.processes import HALVES
+from scale.standins.registry import Availability
+from scale.standins.registry_process import (
+    ChangeEndpoints,
+    Committed,
+    ForgetChanges,
+    SetAvailability,
+    SetSilent,
+)
+
+_CUT_OFF = 1  # the half of the hollow sidecars that is cut off
+
+
+@dataclass(frozen=True, slots=True)
+class FaultOutcome:
+    """What a fault is measured by: the time from each of these until it is in force."""
+
+    changes: list[Committed]
+    halves: tuple[int, ...] = HALVES  # of the hollow sidecars that it was about
+    with_real: bool = True  # whether it was about the real sidecars, too
+
+
+def carry_out(fault: Fault, fleet: Fleet, chooser: random.Random) -> FaultOutcome:
+    """Let a fault happen and end."""
+    return _CARRY_OUT[fault.kind](fault, fleet, chooser)
+
+
+def _restart_one(fleet: Fleet, chooser: random.Random) -> Committed:
+    index = chooser.randrange(len(fleet.registry.endpoints))
+    return fleet.registry.change(ChangeEndpoints(change="restart", indexes=[index]))
+
+
+def _now(fleet: Fleet) -> Committed:
+    """The present version, as if it had been committed now."""
+    return Committed(version=fleet.registry.counts().version, at_s=time.monotonic())
+
+
+def _outage(fault: Fault, fleet: Fleet, chooser: random.Random) -> FaultOutcome:
+    """Discovery is gone; a change falls into the outage, and its time counts from discovery's return."""
+    is_overload = fault.kind is FaultKind.DISCOVERY_OVERLOADED
+    gone = Availability.OVERLOADED if is_overload else Availability.DOWN
+    client = fleet.registry.client
+    client.tell(SetAvailability(availability=gone))
+    time.sleep(fault.lasts_s / 2)
+    _restart_one(fleet, chooser)
+    time.sleep(fault.lasts_s / 2)
+    if fault.kind is FaultKind.DISCOVERY_RESTARTED:
+        client.tell(ForgetChanges())
+    back = _now(fleet)
+    client.tell(SetAvailability(availability=Availability.UP))
+    return FaultOutcome([back])
+
+
+def _moved(fault: Fault, fleet: Fleet, chooser: random.Random) -> FaultOutcome:
+    moved = _now(fleet)
+    fleet.move_discovery()
+    return FaultOutcome([moved])
+
+
+def _zone_lost(fault: Fault, fleet: Fleet, chooser: random.Random) -> FaultOutcome:
+    endpoints = fleet.registry.endpoints
+    zone = chooser.choice(endpoints).zone
+    indexes = [index for index, endpoint in enumerate(endpoints) if endpoint.zone == zone]
+    lost = fleet.registry.change(ChangeEndpoints(change="remove", indexes=indexes))
+    time.sleep(fault.lasts_s)
+    back = fleet.registry.change(ChangeEndpoints(change="add", indexes=indexes))
+    return FaultOutcome([lost, back])
+
+
+def _release(fault: Fault, fleet: Fleet, chooser: random.Random) -> FaultOutcome:
+    """Each server of a service drains, leaves and comes back; spread over the fault's time."""
+    service = chooser.choice(fleet.registry.endpoints).group
+    indexes = [index for index, each in enumerate(fleet.registry.endpoints) if each.group == service]
+    began, changes = time.monotonic(), []
+    steps = [(index, step) for index in indexes for step in ("drain", "remove", "add")]
+    for number, (index, step) in enumerate(steps):
+        time.sleep(max(began + fault.lasts_s * number / len(steps) - time.monotonic(), 0.0))
+        command = ChangeEndpoints.model_validate({"change": step, "indexes": [index]})
+        changes.append(fleet.registry.change(command))
+    return FaultOutcome(changes)
+
+
+def _sidecars_restarted(fault: Fault, fleet: Fleet, chooser: random.Random) -> FaultOutcome:
+    restarted = _now(fleet)
+    fleet.hollow.start(fault.lasts_s)
+    return FaultOutcome([restarted], with_real=False)
+
+
+def _sidecars_cut_off(fault: Fault, fleet: Fleet, chooser: random.Random) -> FaultOutcome:
+    """A change falls into the time of silence; for those who were cut off it counts from the end of it."""
+    client = fleet.registry.client
+    listener = fleet.registry.hollow_listener(_CUT_OFF, fleet.moved)
+    client.tell(SetSilent(listener=listener, silent=True))
+    time.sleep(fault.lasts_s / 2)
+    _restart_one(fleet, chooser)
+    time.sleep(fault.lasts_s / 2)
+    back = _now(fleet)
+    client.tell(SetSilent(listener=listener, silent=False))
+    return FaultOutcome([back], halves=(_CUT_OFF,), with_real=False)
+
+
+_CARRY_OUT: Mapping[FaultKind, Callable[[Fault, Fleet, random.Random], FaultOutcome]] = {
+    FaultKind.DISCOVERY_DOWN: _outage,
+    FaultKind.DISCOVERY_RESTARTED: _outage,
+    FaultKind.DISCOVERY_OVERLOADED: _outage,
+    FaultKind.DISCOVERY_MOVED: _moved,
+    FaultKind.ZONE_LOST: _zone_lost,
+    FaultKind.RELEASE: _release,
+    FaultKind.SIDECARS_RESTARTED: _sidecars_restarted,
+    FaultKind.SIDECARS_CUT_OFF: _sidecars_cut_off,
+}
--- /dev/null
+++ b/scale/control/measure.py
@@ -0,0 +1,174 @@
+"""What the processes of an experiment on control used over a window of time, as figures for each role."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+
+import numpy as np
+from hdrh.histogram import HdrHistogram
+
+from scale.control.delays import new_histogram, record_seconds, seconds_at
+from scale.control.hollow import Delays
+from scale.control.processes import HollowGroup, RealSidecar, Registry
+from scale.processes import ManagedProcess, Usage
+from scale.results import Label, ResultWriter
+from scale.standins.registry import SEGMENT_HEADER_BYTES
+from scale.standins.registry_process import Committed, Counts, Observed
+
+PERCENTILES = (50.0, 99.0, 100.0)
+Labels = Mapping[str, Label]
+
+
+@dataclass(frozen=True, slots=True)
+class Reading:
+    """What all processes have used by a moment."""
+
+    registry: Usage
+    hollow: list[Usage]
+    real: list[Usage]
+    counts: Counts
+
+
+@dataclass(slots=True)
+class Fleet:
+    """The processes of one point of an experiment."""
+
+    registry: Registry
+    hollow: HollowGroup
+    real: list[RealSidecar]
+    moved: bool = False  # whether the sidecars are at their second address of the registry
+
+    @property
+    def sidecars(self) -> int:
+        """How many sidecars follow the registry."""
+        return self.hollow.count + len(self.real)
+
+    def move_discovery(self) -> None:
+        """Move all sidecars to their other address of the registry, at once."""
+        self.moved = not self.moved
+        self.hollow.move(self.moved)
+        for sidecar in self.real:
+            sidecar.move(self.moved)
+
+    def real_delays(self, changes: list[Committed]) -> Observed:
+        """When each real sidecar was first seen to hold each change."""
+        return self.registry.real_delays(changes, len(self.real), self.moved)
+
+    def read(self) -> Reading:
+        """Read the meters of all processes."""
+        return Reading(
+            self.registry.process.usage(),
+            _usages(self.hollow.processes),
+            _usages([each.process for each in self.real]),
+            self.registry.counts(),
+        )
+
+
+def _usages(processes: Sequence[ManagedProcess]) -> list[Usage]:
+    return [process.usage() for process in processes]
+
+
+def _cores(before: Usage, after: Usage) -> float:
+    return (after.cpu_s - before.cpu_s) / (after.at_s - before.at_s)
+
+
+@dataclass(frozen=True, slots=True)
+class Traffic:
+    """What went between the registry and all sidecars in a window."""
+
+    seconds: float
+    calls: int
+    connections: int
+    http_bytes: int
+    segments: float  # TCP segments, worked out from the connections that were sampled
+
+    @property
+    def wire_bytes(self) -> float:
+        """HTTP with the headers of TCP and IP."""
+        return self.http_bytes + self.segments * SEGMENT_HEADER_BYTES
+
+
+def traffic_between(before: Reading, after: Reading) -> Traffic:
+    """The traffic of a window."""
+    first, last = before.counts, after.counts
+    connections = last.connections - first.connections
+    sampled = last.sampled_connections - first.sampled_connections
+    segments = (last.sampled_segments - first.sampled_segments) / sampled if sampled else 0.0
+    return Traffic(
+        seconds=after.registry.at_s - before.registry.at_s,
+        calls=last.calls - first.calls,
+        connections=connections,
+        http_bytes=last.bytes_in + last.bytes_out - first.bytes_in - first.bytes_out,
+        segments=connections * segments,
+    )
+
+
+def write_usage(writer: ResultWriter, fleet: Fleet, before: Reading, after: Reading, labels: Labels) -> None:
+    """Write what each role used in a window."""
+    traffic = traffic_between(before, after)
+    writer.add("discovery", "cpu", _cores(before.registry, after.registry), "cores", labels)
+    writer.add("discovery", "memory", after.registry.memory_bytes, "bytes", labels)
+    writer.add("discovery", "calls", traffic.calls / traffic.seconds, "1/s", labels)
+    writer.add("discovery", "http bytes", traffic.http_bytes / traffic.seconds, "bytes/s", labels)
+    writer.add("discovery", "snapshots", after.counts.snapshots - before.counts.snapshots, "answers", labels)
+    writer.add("discovery", "refused", after.counts.refused - before.counts.refused, "answers", labels)
+    hollow = sum(map(_cores, before.hollow, after.hollow)) / fleet.hollow.count
+    writer.add("hollow sidecar", "cpu", hollow, "cores", labels)
+    if fleet.real:
+        real = list(map(_cores, before.real, after.real))
+        memory = [usage.memory_bytes for usage in after.real]
+        writer.add("real sidecar", "cpu", float(np.mean(real)), "cores", labels)
+        writer.add("real sidecar", "cpu, largest", max(real), "cores", labels)
+        writer.add("real sidecar", "memory", float(np.mean(memory)), "bytes", labels)
+        writer.add("real sidecar", "memory, largest", max(memory), "bytes", labels)
+    each = traffic.seconds * fleet.sidecars
+    writer.add("sidecar", "http bytes", traffic.http_bytes / each, "bytes/s", labels)
+    writer.add("sidecar", "wire bytes", traffic.wire_bytes / each, "bytes/s", labels)
+    writer.add("sidecar", "http bytes in the window", traffic.http_bytes / fleet.sidecars, "bytes", labels)
+    writer.add("sidecar", "calls", traffic.calls / each, "1/s", labels)
+    writer.add("sidecar", "connections", traffic.connections / each, "1/s", labels)
+
+
+def write_hollow_memory(
+    writer: ResultWriter, fleet: Fleet, empty: Reading, full: Reading, labels: Labels
+) -> None:
+    """Write what a hollow sidecar adds to the memory of its process."""
+    grown = sum(
+        after.memory_bytes - before.memory_bytes
+        for before, after in zip(empty.hollow, full.hollow, strict=True)
+    )
+    writer.add("hollow sidecar", "memory", grown / fleet.hollow.count, "bytes", labels)
+
+
+def _write_percentiles(
+    writer: ResultWriter, role: str, histogram: HdrHistogram, missing: int, labels: Labels
+) -> None:
+    """Write times to being in force; `missing` pairs of a change and a sidecar have none."""
+    writer.add(role, "in force, measured", histogram.get_total_count(), "pairs", labels)
+    writer.add(role, "in force, missing", missing, "pairs", labels)
+    if histogram.get_total_count():
+        for percentile in PERCENTILES:
+            delay_s = seconds_at(histogram, percentile)
+            writer.add(role, f"in force, {percentile:g} in 100", delay_s, "s", labels)
+
+
+def write_hollow_delays(writer: ResultWriter, delays: Sequence[Delays], labels: Labels) -> None:
+    """Write the times to being in force in hollow sidecars."""
+    histogram = new_histogram()
+    for each in delays:
+        histogram.add(HdrHistogram.decode(each.histogram))
+    _write_percentiles(writer, "hollow sidecar", histogram, sum(each.missing for each in delays), labels)
+
+
+def write_real_delays(writer: ResultWriter, observed: Observed, labels: Labels) -> None:
+    """Write the times to being in force in real sidecars, each seen by the call that followed it."""
+    histogram = new_histogram()
+    missing = 0
+    for change in observed.delays_s:
+        for delay_s in change:
+            if delay_s is None:
+                missing += 1
+            else:
+                record_seconds(histogram, delay_s)
+    _write_percentiles(writer, "real sidecar", histogram, missing, labels)
--- /dev/null
+++ b/scale/control/processes.py
@@ -0,0 +1,179 @@
+"""The processes of an experiment on control: the registry, hollow sidecars and real ones."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from scale.commands import CommandClient, python_command
+from scale.control.experiment import ControlExperiment
+from scale.control.hollow import (
+    Delays,
+    GetDelays,
+    GetProgress,
+    MoveDiscovery,
+    Progress,
+    StartSidecars,
+    sidecar_settings,
+)
+from scale.errors import ScaleError
+from scale.processes import ManagedProcess, ProcessGroup
+from scale.standins.change_log import Endpoint
+from scale.standins.fleet import make_endpoints, zone_name
+from scale.standins.registry import Address
+from scale.standins.registry_process import (
+    ChangeEndpoints,
+    Committed,
+    Counts,
+    GetCounts,
+    GetObserved,
+    Observed,
+)
+
+HALVES = (0, 1)  # hollow sidecars call at two addresses, so that one half can be cut off
+_HOLLOW_LISTENERS = 2 * len(HALVES)  # and each half has another address to be moved to
+_LOOK_EVERY_S = 0.2
+
+
+class ControlTimeoutError(ScaleError):
+    """The sidecars did not come to hold the registry's list in time."""
+
+
+class Registry:
+    """The registry stand-in's process."""
+
+    def __init__(self, group: ProcessGroup, experiment: ControlExperiment, servers: int) -> None:
+        command = python_command(
+            "scale.standins.registry_process",
+            *("--servers", servers, "--zones", experiment.zones, "--seed", experiment.seed),
+            *("--listeners", _HOLLOW_LISTENERS, "--observed", 2 * experiment.real_sidecars),
+        )
+        self.process = group.start(command, stdout=subprocess.PIPE)
+        self.client = CommandClient(self.process.popen)
+        self.endpoints: list[Endpoint] = make_endpoints(servers, experiment.zones, experiment.seed)
+
+    def hollow_listener(self, half: int, moved: bool) -> int:
+        """The listener at which a half of the hollow sidecars calls, before or after a move."""
+        return half + len(HALVES) * moved
+
+    def real_listener(self, sidecar: int, moved: bool) -> int:
+        """The listener at which one real sidecar alone calls, before or after a move."""
+        return _HOLLOW_LISTENERS + 2 * sidecar + moved
+
+    def address(self, listener: int) -> Address:
+        """Where a listener is."""
+        return self.client.ready.addresses[listener]
+
+    def change(self, command: ChangeEndpoints) -> Committed:
+        """Commit a change."""
+        return self.client.ask(command, Committed)
+
+    def counts(self) -> Counts:
+        """What it has done so far."""
+        return self.client.ask(GetCounts(), Counts)
+
+    def real_delays(self, changes: list[Committed], real_sidecars: int, moved: bool) -> Observed:
+        """When each real sidecar was first seen to hold each change."""
+        listeners = [self.real_listener(index, moved) for index in range(real_sidecars)]
+        return self.client.ask(GetObserved(listeners=listeners, changes=changes), Observed)
+
+
+class HollowGroup:
+    """All processes with hollow sidecars."""
+
+    def __init__(
+        self, group: ProcessGroup, registry: Registry, experiment: ControlExperiment, count: int
+    ) -> None:
+        self.count = count
+        self._registry = registry
+        self.processes: list[ManagedProcess] = []
+        for first in range(0, count, experiment.hollow_per_process):
+            index = len(self.processes)
+            host, port = registry.address(registry.hollow_listener(index % len(HALVES), moved=False))
+            command = python_command(
+                "scale.control.hollow",
+                *("--count", min(experiment.hollow_per_process, count - first)),
+                *("--discovery", f"{host}:{port}"),
+                *("--zone", zone_name(index % experiment.zones)),
+                *("--seed", experiment.seed + index),
+            )
+            self.processes.append(group.start(command, stdout=subprocess.PIPE))
+        self._clients = [CommandClient(process.popen) for process in self.processes]
+
+    def start(self, within_s: float) -> None:
+        """Start all sidecars, or start them anew, spread over a time."""
+        for client in self._clients:
+            client.tell(StartSidecars(within_s=within_s))
+
+    def move(self, moved: bool) -> None:
+        """Move all to their other address of the registry, or back."""
+        for index, client in enumerate(self._clients):
+            listener = self._registry.hollow_listener(index % len(HALVES), moved)
+            client.tell(MoveDiscovery(address=self._registry.address(listener)))
+
+    def is_in_force(self, change: Committed, halves: tuple[int, ...] = HALVES) -> bool:
+        """Whether all sidecars of these halves hold a change."""
+        progress = [client.ask(GetProgress(change=change), Progress) for client in self._of(halves)]
+        return all(each.in_force == each.sidecars for each in progress)
+
+    def delays(self, changes: list[Committed], halves: tuple[int, ...] = HALVES) -> list[Delays]:
+        """The times until changes were in force, by process, of the sidecars of these halves."""
+        return [client.ask(GetDelays(changes=changes), Delays) for client in self._of(halves)]
+
+    def _of(self, halves: tuple[int, ...]) -> list[CommandClient]:
+        return [client for index, client in enumerate(self._clients) if index % len(HALVES) in halves]
+
+
+class RealSidecar:
+    """One `python -m topazbank` process."""
+
+    def __init__(
+        self, group: ProcessGroup, registry: Registry, experiment: ControlExperiment, index: int, folder: Path
+    ) -> None:
+        self._registry = registry
+        self._index = index
+        self._path = folder / f"sidecar-{index}.json"
+        self._given: dict[str, Any] = {
+            "name": f"n{index}",
+            "listen": f"127.0.0.1:{_free_port()}",
+            "seed": f"{experiment.seed + index:x}",
+            "settings": sidecar_settings(zone_name(index % experiment.zones)),
+        }
+        self._write(moved=False)
+        environment = {name: value for name, value in os.environ.items() if not name.startswith("RELAY_")}
+        environment["RELAY_CONFIG"] = str(self._path)
+        self.process = group.start(python_command("topazbank"), environment)
+
+    def _write(self, moved: bool) -> None:
+        host, port = self._registry.address(self._registry.real_listener(self._index, moved))
+        self._path.write_text(json.dumps(self._given | {"discovery": f"{host}:{port}"}), encoding="utf-8")
+
+    def move(self, moved: bool) -> None:
+        """Move it to its other address, or back, by its configuration and SIGHUP."""
+        self._write(moved)
+        self.process.popen.send_signal(signal.SIGHUP)
+
+
+def _free_port() -> int:
+    """A port of loopback that the kernel picks and nobody has: the sidecar wants to be told one."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        port: int = probe.getsockname()[1]
+        return port
+
+
+def wait_for(condition: Callable[[], bool], within_s: float) -> bool:
+    """Wait until a condition holds, and say whether it came to."""
+    give_up_at = time.monotonic() + within_s
+    while not condition():
+        if time.monotonic() >= give_up_at:
+            return False
+        time.sleep(_LOOK_EVERY_S)
+    return True
--- /dev/null
+++ b/scale/control/run.py
@@ -0,0 +1,190 @@
+"""Runs an experiment on control, point by point."""
+
+from __future__ import annotations
+
+import random
+import tempfile
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
+from pathlib import Path
+from threading import Event, Thread
+from typing import Self
+
+import structlog
+
+from scale.control.experiment import ControlExperiment, Fault
+from scale.control.faults import FaultOutcome, carry_out
+from scale.control.measure import (
+    Fleet,
+    Labels,
+    write_hollow_delays,
+    write_hollow_memory,
+    write_real_delays,
+    write_usage,
+)
+from scale.control.processes import ControlTimeoutError, HollowGroup, RealSidecar, Registry, wait_for
+from scale.processes import ProcessGroup
+from scale.results import ResultWriter
+from scale.standins.registry_process import ChangeEndpoints, Committed
+
+_LOADED_WITHIN_S = 120.0
+_IN_FORCE_WITHIN_S = 15.0
+_SAMPLE_EVERY_S = 0.25
+
+log = structlog.get_logger()
+
+
+def run_control(experiment: ControlExperiment, writer: ResultWriter) -> None:
+    """Measure each size, each with the change rates and then the faults."""
+    for servers in experiment.servers:
+        for hollow in experiment.hollow_sidecars:
+            with _started_fleet(experiment, servers, hollow) as fleet:
+                Point(experiment, writer, fleet, servers).run()
+
+
+@contextmanager
+def _started_fleet(experiment: ControlExperiment, servers: int, hollow: int) -> Iterator[Fleet]:
+    with ProcessGroup() as group, tempfile.TemporaryDirectory() as folder:
+        registry = Registry(group, experiment, servers)
+        hollow_group = HollowGroup(group, registry, experiment, hollow)
+        real = [
+            RealSidecar(group, registry, experiment, index, Path(folder))
+            for index in range(experiment.real_sidecars)
+        ]
+        yield Fleet(registry, hollow_group, real)
+
+
+class PeakSampler:
+    """Samples memory while something happens, and keeps the largest."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self._fleet = fleet
+        self._over = Event()
+        self._thread = Thread(target=self._sample)
+        self._registry_bytes = 0
+        self._hollow_bytes = 0
+
+    def __enter__(self) -> Self:
+        self._thread.start()
+        return self
+
+    def __exit__(self, *error: object) -> None:
+        self._over.set()
+        self._thread.join()
+
+    def _sample(self) -> None:
+        registry, hollow = self._fleet.registry.process, self._fleet.hollow.processes
+        is_over = False
+        while not is_over:
+            is_over = self._over.wait(_SAMPLE_EVERY_S)
+            self._registry_bytes = max(self._registry_bytes, registry.usage().memory_bytes)
+            self._hollow_bytes = max(self._hollow_bytes, sum(each.usage().memory_bytes for each in hollow))
+
+    def write(self, writer: ResultWriter, labels: Labels) -> None:
+        """Write the largest figures."""
+        each = self._hollow_bytes / self._fleet.hollow.count
+        writer.add("discovery", "memory, largest", self._registry_bytes, "bytes", labels)
+        writer.add("hollow sidecar", "memory, largest, with its process's", each, "bytes", labels)
+
+
+@dataclass(slots=True)
+class Point:
+    """One size of an experiment."""
+
+    experiment: ControlExperiment
+    writer: ResultWriter
+    fleet: Fleet
+    servers: int
+
+    def run(self) -> None:
+        """Load the list into all sidecars, measure the change rates, then the faults."""
+        chooser = random.Random(self.experiment.seed)
+        self._load()
+        for rate in self.experiment.changes_per_second:
+            self._measure_rate(rate, chooser)
+        for fault in self.experiment.faults:
+            self._measure_fault(fault, chooser)
+
+    def _labels(self, phase: str, changes_per_second: float = 0.0) -> Labels:
+        return {
+            "servers": self.servers,
+            "sidecars": self.fleet.sidecars,
+            "changes_per_second": changes_per_second,
+            "phase": phase,
+        }
+
+    def _load(self) -> None:
+        labels = self._labels("start")
+        empty = self.fleet.read()
+        self.fleet.hollow.start(self.experiment.start_within_s)
+        if not self._await_change(Committed(version=1, at_s=0.0), _LOADED_WITHIN_S):
+            raise ControlTimeoutError("hollow_sidecars: not all of them held the list within 120 s")
+        time.sleep(self.experiment.settle_s)
+        full = self.fleet.read()
+        write_hollow_memory(self.writer, self.fleet, empty, full, labels)
+        log.info("sidecars loaded", servers=self.servers, sidecars=self.fleet.sidecars)
+
+    def _await_change(self, change: Committed, within_s: float) -> bool:
+        """Wait until a change is in force in all sidecars, hollow and real; say whether it came to be."""
+
+        def is_in_force() -> bool:
+            return self.fleet.hollow.is_in_force(change) and self._is_in_force_in_real(change)
+
+        return wait_for(is_in_force, within_s)
+
+    def _is_in_force_in_real(self, change: Committed) -> bool:
+        return None not in self.fleet.real_delays([change]).delays_s[0]
+
+    def _measure_rate(self, rate: float, chooser: random.Random) -> None:
+        labels = self._labels("steady", rate)
+        duration_s = self.experiment.duration_s
+        count = max(round(rate * duration_s), 1) if rate else 0
+        before = self.fleet.read()
+        changes = self._commit_spread(count, duration_s, chooser)
+        after = self.fleet.read()
+        write_usage(self.writer, self.fleet, before, after, labels)
+        if changes:
+            self._await_change(changes[-1], _IN_FORCE_WITHIN_S)
+            self._write_delays(changes, labels)
+        log.info("rate measured", servers=self.servers, sidecars=self.fleet.sidecars, rate=rate)
+
+    def _commit_spread(self, count: int, duration_s: float, chooser: random.Random) -> list[Committed]:
+        """Restart servers at random moments of a window, and return at its end."""
+        began = time.monotonic()
+        changes = []
+        for moment in sorted(chooser.uniform(0.0, duration_s) for _ in range(count)):
+            time.sleep(max(began + moment - time.monotonic(), 0.0))
+            index = chooser.randrange(self.servers)
+            changes.append(self.fleet.registry.change(ChangeEndpoints(change="restart", indexes=[index])))
+        time.sleep(max(began + duration_s - time.monotonic(), 0.0))
+        return changes
+
+    def _write_delays(self, changes: list[Committed], labels: Labels) -> None:
+        write_hollow_delays(self.writer, self.fleet.hollow.delays(changes), labels)
+        if self.fleet.real:
+            self._write_real_delays(changes, labels)
+
+    def _write_real_delays(self, changes: list[Committed], labels: Labels) -> None:
+        write_real_delays(self.writer, self.fleet.real_delays(changes), labels)
+
+    def _measure_fault(self, fault: Fault, chooser: random.Random) -> None:
+        labels = self._labels(str(fault.kind))
+        before = self.fleet.read()
+        with PeakSampler(self.fleet) as peak:
+            outcome = carry_out(fault, self.fleet, chooser)
+            recovered = wait_for(lambda: self._is_over(outcome), fault.observed_s)
+        after = self.fleet.read()
+        write_usage(self.writer, self.fleet, before, after, labels)
+        peak.write(self.writer, labels)
+        write_hollow_delays(self.writer, self.fleet.hollow.delays(outcome.changes, outcome.halves), labels)
+        if self.fleet.real and outcome.with_real:
+            self._write_real_delays(outcome.changes, labels)
+        log.info("fault measured", fault=fault.kind, servers=self.servers, recovered=recovered)
+
+    def _is_over(self, outcome: FaultOutcome) -> bool:
+        latest = outcome.changes[-1]
+        if not self.fleet.hollow.is_in_force(latest, outcome.halves):
+            return False
+        return not outcome.with_real or self._is_in_force_in_real(latest)
--- a/scale/kinds.py
+++ b/scale/kinds.py
@@ -7,6 +7,8 @@
 from pathlib import Path
 from typing import Any
 
+from scale.control.experiment import ControlExperiment
+from scale.control.run import run_control
 from scale.errors import ExperimentError
 from scale.experiment import Experiment, read_experiment_file, validate_experiment
 from scale.results import ResultWriter
@@ -20,7 +22,7 @@
     run: Callable[[Any, ResultWriter], None]
 
 
-KINDS: Mapping[str, ExperimentKind] = {}
+KINDS: Mapping[str, ExperimentKind] = {"control": ExperimentKind(ControlExperiment, run_control)}
 
 
 def load_experiment(path: Path) -> Experiment:
--- /dev/null
+++ b/scale/slopes.py
@@ -0,0 +1,66 @@
+"""Lines through all that was measured at two or more sizes, and what they foretell at another size."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from scale.report import Slope, fit_slope
+from scale.results import Measurement
+
+_LEAST_SIZES = 2
+
+
+@dataclass(frozen=True, slots=True)
+class Series:
+    """One metric of a role, measured at several sizes with all else alike."""
+
+    experiment: str
+    commit: str
+    role: str
+    metric: str
+    unit: str
+    alike: str  # the labels other than the size
+
+
+@dataclass(frozen=True, slots=True)
+class FittedSeries:
+    """A series and its line."""
+
+    series: Series
+    points: int
+    slope: Slope
+
+
+def fit_slopes(measurements: Sequence[Measurement], against: str) -> list[FittedSeries]:
+    """Fit what was measured at two or more values of a label, with all other labels alike."""
+    points: dict[Series, list[Measurement]] = defaultdict(list)
+    for each in measurements:
+        if isinstance(each.labels.get(against), int | float):
+            alike = " ".join(f"{name}={value}" for name, value in each.labels.items() if name != against)
+            points[Series(each.experiment, each.commit, each.role, each.metric, each.unit, alike)].append(
+                each
+            )
+    fitted = []
+    for series, measured in points.items():
+        sizes = [float(each.labels[against]) for each in measured]
+        if len(set(sizes)) >= _LEAST_SIZES:
+            slope = fit_slope(sizes, [each.value for each in measured])
+            fitted.append(FittedSeries(series, len(measured), slope))
+    return fitted
+
+
+def format_slopes(fitted: Sequence[FittedSeries], at: float) -> str:
+    """A plain-text table: slope, value at zero, fit, the largest size measured, and the value at `at`."""
+    names = ("experiment", "commit", "role", "metric", "unit")
+    figure_names = ("per unit", "at zero", "r2", "largest", "points", f"at {at:g}")
+    rows = [[*names, *figure_names, "alike"]]
+    for each in fitted:
+        series, slope = each.series, each.slope
+        figures = (slope.per_unit, slope.at_zero, slope.r_squared, slope.largest, each.points, slope.at(at))
+        labels = (series.experiment, series.commit, series.role, series.metric, series.unit)
+        rows.append([*labels, *(f"{figure:.4g}" for figure in figures), series.alike])
+    widths = [max(map(len, column)) for column in zip(*rows, strict=True)]
+    lines = ("  ".join(cell.ljust(width) for cell, width in zip(row, widths, strict=True)) for row in rows)
+    return "\n".join(line.rstrip() for line in lines)
