Add the scale rig's server stand-in and open-loop load client

Experiments with real sidecars need servers that count what reaches them, say how long they held a call and whether its connection was new, and can drain, hang, reject or die; and calls that start at fixed times, so that waiting is measured.

--- /dev/null
+++ b/scale/http1.py
@@ -0,0 +1,78 @@
+"""HTTP/1.1 messages as the rig's own client and servers write them: a head, then a body of known length.
+
+Both sides of each connection are written by the rig, so this reads no more than they write; it is kept small
+because the time that it takes is part of every latency measured.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass
+
+_END_OF_HEAD = b"\r\n\r\n"
+_REASONS = {200: "OK", 404: "Not Found", 500: "Internal Server Error", 503: "Service Unavailable"}
+
+
+@dataclass(frozen=True, slots=True)
+class Message:
+    """A request or an answer."""
+
+    first_line: str
+    headers: Mapping[str, str]  # names in lower case
+    body: bytes
+
+    @property
+    def status(self) -> int:
+        """The status of an answer."""
+        return int(self.first_line.split(" ", 2)[1])
+
+    @property
+    def target(self) -> str:
+        """The path and query of a request."""
+        return self.first_line.split(" ", 2)[1]
+
+
+class MessageReader:
+    """Cuts the bytes of one connection into messages."""
+
+    def __init__(self) -> None:
+        self._buffer = b""
+
+    def feed(self, data: bytes) -> Iterator[Message]:
+        """Take what was read, and yield each message that is whole; raise ValueError on a broken head."""
+        self._buffer += data
+        while (message := self._next()) is not None:
+            yield message
+
+    def _next(self) -> Message | None:
+        end = self._buffer.find(_END_OF_HEAD)
+        if end < 0:
+            return None
+        first_line, *lines = self._buffer[:end].decode("latin-1").split("\r\n")
+        headers = {}
+        for line in lines:
+            name, _, value = line.partition(":")
+            headers[name.lower()] = value.strip()
+        body_start = end + len(_END_OF_HEAD)
+        body_end = body_start + int(headers.get("content-length", "0"))
+        if len(self._buffer) < body_end:
+            return None
+        body = self._buffer[body_start:body_end]
+        self._buffer = self._buffer[body_end:]
+        return Message(first_line, headers, body)
+
+
+def format_request(method: str, target: str, headers: Mapping[str, str], body: bytes = b"") -> bytes:
+    """The bytes of a request."""
+    return _format(f"{method} {target} HTTP/1.1", headers, body)
+
+
+def format_answer(status: int, headers: Mapping[str, str], body: bytes = b"") -> bytes:
+    """The bytes of an answer."""
+    return _format(f"HTTP/1.1 {status} {_REASONS.get(status, 'Other')}", headers, body)
+
+
+def _format(first_line: str, headers: Mapping[str, str], body: bytes) -> bytes:
+    lines = [first_line, *(f"{name}: {value}" for name, value in headers.items())]
+    lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join([*lines, "", ""]).encode("latin-1") + body
--- /dev/null
+++ b/scale/load.py
@@ -0,0 +1,218 @@
+"""An open-loop load client: calls start at fixed times, whatever became of those before.
+
+A slow answer holds up no later call, as each call takes an idle connection or opens a new one: the waiting
+that a slow callee causes is measured, not left out (no coordinated omission).  Latency counts from the moment
+the request is written; how late that was against its arrival time is the client's lag, kept beside it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable, Sequence
+from dataclasses import dataclass
+
+import numpy as np
+from hdrh.histogram import HdrHistogram
+
+from scale.http1 import Message, MessageReader, format_request
+
+Address = tuple[str, int]
+NO_ANSWER = 0  # in place of a status: the connection failed or the time was over
+
+_LOWEST_US, _HIGHEST_US, _DIGITS = 1, 120_000_000, 3
+_LAG_INTERVAL_S = 0.01
+
+
+@dataclass(frozen=True, slots=True)
+class CallResult:
+    """What came of one call; times are seconds on the monotonic clock."""
+
+    arrived_at: float  # when it was due
+    sent_at: float
+    ended_at: float
+    status: int
+    body: bytes
+
+    @property
+    def latency_us(self) -> float:
+        """From the request's writing to the answer's last byte."""
+        return (self.ended_at - self.sent_at) * 1e6
+
+    @property
+    def late_us(self) -> float:
+        """How late the client itself was."""
+        return (self.sent_at - self.arrived_at) * 1e6
+
+
+class LatencyHistogram:
+    """Counts times in microseconds, to three digits."""
+
+    def __init__(self, times_us: Sequence[float] = ()) -> None:
+        self._histogram = HdrHistogram(_LOWEST_US, _HIGHEST_US, _DIGITS)
+        for each in times_us:
+            self.add(each)
+
+    def add(self, time_us: float) -> None:
+        """Count one time; those beyond the range count as its ends."""
+        self._histogram.record_value(int(min(max(time_us, _LOWEST_US), _HIGHEST_US)))
+
+    def quantile(self, percent: float) -> float:
+        """The time that so many in 100 do not exceed, in microseconds; 0 when nothing was counted."""
+        return float(self._histogram.get_value_at_percentile(percent))
+
+    @property
+    def count(self) -> int:
+        """How many times were counted."""
+        return int(self._histogram.get_total_count())
+
+
+class HttpClient:
+    """Calls one address over connections that it keeps, and opens more when all of them are busy."""
+
+    def __init__(self, address: Address) -> None:
+        self._address = address
+        self._idle: list[_ClientConnection] = []
+
+    async def call(self, request: bytes, arrived_at: float, limit_s: float) -> CallResult:
+        """Send a request; one that a closing connection left unread goes once more, on a new connection."""
+        sent_at = time.monotonic()
+        try:
+            async with asyncio.timeout(limit_s):
+                answer = await self._exchange(request)
+        except (OSError, TimeoutError):
+            return CallResult(arrived_at, sent_at, time.monotonic(), NO_ANSWER, b"")
+        return CallResult(arrived_at, sent_at, time.monotonic(), answer.status, answer.body)
+
+    async def _exchange(self, request: bytes) -> Message:
+        connection = self._take_idle()
+        if connection is not None:
+            try:
+                return await self._ask(connection, request)
+            except ConnectionError:
+                pass  # it was closed between requests: once more on a new one
+        _, connection = await asyncio.get_running_loop().create_connection(_ClientConnection, *self._address)
+        return await self._ask(connection, request)
+
+    def _take_idle(self) -> _ClientConnection | None:
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.is_open():
+                return connection
+        return None
+
+    async def _ask(self, connection: _ClientConnection, request: bytes) -> Message:
+        try:
+            answer = await connection.ask(request)
+        except (asyncio.CancelledError, ConnectionError):
+            connection.close()
+            raise
+        if answer.headers.get("connection", "").lower() == "close":
+            connection.close()
+        else:
+            self._idle.append(connection)
+        return answer
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        for connection in self._idle:
+            connection.close()
+        self._idle.clear()
+
+
+class _ClientConnection(asyncio.Protocol):
+    """One connection, with one request out at most."""
+
+    def __init__(self) -> None:
+        self._reader = MessageReader()
+        self._transport: asyncio.Transport | None = None
+        self._answer: asyncio.Future[Message] | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+
+    def connection_lost(self, error: Exception | None) -> None:
+        if self._answer is not None and not self._answer.done():
+            self._answer.set_exception(ConnectionResetError("the connection broke"))
+
+    def data_received(self, data: bytes) -> None:
+        for answer in self._reader.feed(data):
+            if self._answer is not None and not self._answer.done():
+                self._answer.set_result(answer)
+
+    def is_open(self) -> bool:
+        return self._transport is not None and not self._transport.is_closing()
+
+    def ask(self, request: bytes) -> asyncio.Future[Message]:
+        assert self._transport is not None
+        self._answer = asyncio.get_running_loop().create_future()
+        self._transport.write(request)
+        return self._answer
+
+    def close(self) -> None:
+        if self._transport is not None:
+            self._transport.abort()
+
+
+def poisson_arrivals(rate_per_s: float, duration_s: float, seed: int) -> list[float]:
+    """Arrival times in seconds from 0 to the duration, the same for the same seed."""
+    generator = np.random.default_rng(seed)
+    count = generator.poisson(rate_per_s * duration_s)
+    return [float(each) for each in np.sort(generator.uniform(0.0, duration_s, count))]
+
+
+async def run_open_loop(
+    arrivals_s: Sequence[float], start_call: Callable[[int, float], Awaitable[CallResult]]
+) -> list[CallResult]:
+    """Start call after call at its time from now; return the results in the order of the arrivals.
+
+    `start_call` is given the call's number and its arrival time on the monotonic clock.
+    """
+    began = time.monotonic()
+    tasks: list[asyncio.Future[CallResult]] = []
+    try:
+        for number, after_s in enumerate(arrivals_s):
+            arrives_at = began + after_s
+            await asyncio.sleep(max(arrives_at - time.monotonic(), 0.0))
+            tasks.append(asyncio.ensure_future(start_call(number, arrives_at)))
+        return list(await asyncio.gather(*tasks))
+    finally:
+        for task in tasks:
+            task.cancel()
+
+
+class LagProbe:
+    """Measures how late this process's event loop wakes a sleeper, while the block runs."""
+
+    def __init__(self) -> None:
+        self.histogram = LatencyHistogram()
+        self._task: asyncio.Task[None] | None = None
+
+    async def __aenter__(self) -> LagProbe:
+        self._task = asyncio.create_task(self._measure())
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    async def _measure(self) -> None:
+        while True:
+            due = time.monotonic() + _LAG_INTERVAL_S
+            await asyncio.sleep(_LAG_INTERVAL_S)
+            self.histogram.add((time.monotonic() - due) * 1e6)
+
+
+def format_call(service_class: str, ident: str, budget_s: float, idempotency_key: str | None = None) -> bytes:
+    """A call as the application sends it; without a key it is one that is safe to repeat."""
+    headers = {
+        "Host": "app.svc",
+        "X-Call-Id": ident,
+        "X-Call-Class": service_class,
+        "X-Budget": f"{budget_s:.3f}",
+    }
+    if idempotency_key is None:
+        return format_request("GET", f"/api/{ident}", headers)
+    return format_request("POST", f"/api/{ident}", headers | {"Idempotency-Key": idempotency_key})
--- /dev/null
+++ b/scale/standins/server.py
@@ -0,0 +1,213 @@
+"""A server stand-in: HTTP/1.1 on a loopback port, as the protocol describes what sidecars call.
+
+Each connection carries one request at a time.  A served request's answer says in its body which server gave
+it, the how manieth request of its connection it was, and how long the server held it: the caller can tell the
+server's own time, and the price of a new connection, from what the sidecar added.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import socket
+import struct
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum, auto
+
+import numpy as np
+
+from scale.http1 import Message, MessageReader, format_answer
+
+_LIVE_PATH = "/health/live"
+_BACKLOG = 512
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER: on, for 0 s
+_REJECTION = {"X-Rejected": "1"}
+
+
+class ServerMode(Enum):
+    """How a server treats the requests that come."""
+
+    SERVE = auto()  # 200 after the service time
+    ERROR = auto()  # 500 after the service time: it may have run
+    REJECT = auto()  # 503 with X-Rejected at once: it never ran
+    HANG = auto()  # nothing is answered, connections stay open
+    DRAIN = auto()  # what it holds is served, what comes is rejected and its connection closed
+
+
+@dataclass(slots=True)
+class ServerCounters:
+    """What a server has seen since its start."""
+
+    connections: int = 0
+    requests: int = 0  # calls whose last byte came; probes are counted apart
+    served: int = 0
+    errors: int = 0
+    rejected: int = 0
+    hung: int = 0
+    abandoned: int = 0  # the caller closed the connection before the answer
+    overlapping: int = (
+        0  # requests that came while one was held on their connection: a breach of the protocol
+    )
+    without_id: int = 0
+    probes: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class ServedBody:
+    """What the body of a 200 answer says."""
+
+    server: str
+    connection_call: int  # 1 for the first request of its connection
+    held_us: float  # from the request's last byte to the answer
+
+    def encode(self) -> bytes:
+        """The body's bytes, as JSON."""
+        fields = {"server": self.server, "connection_call": self.connection_call, "held_us": self.held_us}
+        return json.dumps(fields).encode()
+
+    @staticmethod
+    def decode(body: bytes) -> ServedBody:
+        """Read such a body; raise ValueError, KeyError or TypeError on any other."""
+        given = json.loads(body)
+        return ServedBody(given["server"], given["connection_call"], given["held_us"])
+
+
+def exponential_service_times(mean_s: float, seed: int) -> Callable[[], float]:
+    """Service times in seconds drawn from an exponential distribution, the same for the same seed."""
+    generator = np.random.default_rng(seed)
+    return lambda: float(generator.exponential(mean_s))
+
+
+class ServerStandin:
+    """One server; `mode` may be changed at any time and holds for the requests that come from then on."""
+
+    def __init__(self, name: str, service_time_s: Callable[[], float], allow_probes: bool = False) -> None:
+        self.name = name
+        self.mode = ServerMode.SERVE
+        self.counters = ServerCounters()
+        self.address: tuple[str, int] = ("127.0.0.1", 0)
+        self.last_request_at = 0.0  # monotonic clock
+        self.allow_probes = allow_probes
+        self.service_time_s = service_time_s
+        self.connections: set[ServerConnection] = set()
+        self._listener: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Listen on a port that the kernel picks."""
+        loop = asyncio.get_running_loop()
+        self._listener = await loop.create_server(
+            lambda: ServerConnection(self), self.address[0], 0, backlog=_BACKLOG
+        )
+        self.address = self._listener.sockets[0].getsockname()[:2]
+
+    def drain(self) -> None:
+        """Serve what is held, and reject what comes."""
+        self.mode = ServerMode.DRAIN
+
+    def die(self) -> None:
+        """End as a killed process does: connections are reset and new ones refused."""
+        self.close()
+        for connection in list(self.connections):
+            connection.reset()
+
+    def close(self) -> None:
+        """Stop listening; open connections stay."""
+        if self._listener is not None:
+            self._listener.close()
+            self._listener = None
+
+
+class ServerConnection(asyncio.Protocol):
+    """One connection to a server."""
+
+    def __init__(self, server: ServerStandin) -> None:
+        self._server = server
+        self._reader = MessageReader()
+        self._transport: asyncio.Transport | None = None
+        self._calls = 0
+        self._held: asyncio.TimerHandle | None = None
+        self._is_hanging = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Note a new connection."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        self._server.connections.add(self)
+        self._server.counters.connections += 1
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Forget the connection, and the request that it held."""
+        self._server.connections.discard(self)
+        if self._held is not None or self._is_hanging:
+            self._server.counters.abandoned += 1
+        if self._held is not None:
+            self._held.cancel()
+            self._held = None
+
+    def data_received(self, data: bytes) -> None:
+        """Begin each request whose last byte has come."""
+        try:
+            for request in self._reader.feed(data):
+                self._begin(request)
+        except ValueError:
+            self.reset()
+
+    def reset(self) -> None:
+        """Break the connection as a process that dies does."""
+        if self._transport is None or self._transport.is_closing():
+            return
+        sock = self._transport.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+        self._transport.abort()
+
+    def _begin(self, request: Message) -> None:
+        server, counters = self._server, self._server.counters
+        if self._held is not None or self._is_hanging:
+            counters.overlapping += 1
+            self.reset()
+        elif request.target == _LIVE_PATH and server.allow_probes:
+            counters.probes += 1
+            self._write(200 if server.mode is ServerMode.SERVE else 503)
+        elif "x-call-id" not in request.headers:
+            counters.without_id += 1
+            self._write(404)
+        else:
+            counters.requests += 1
+            self._calls += 1
+            server.last_request_at = time.monotonic()
+            self._take_call(server.mode)
+
+    def _take_call(self, mode: ServerMode) -> None:
+        counters = self._server.counters
+        if mode is ServerMode.REJECT:
+            counters.rejected += 1
+            self._write(503, _REJECTION)
+        elif mode is ServerMode.DRAIN:
+            counters.rejected += 1
+            self._write(503, _REJECTION | {"Connection": "close"})
+            if self._transport is not None:
+                self._transport.close()
+        elif mode is ServerMode.HANG:
+            counters.hung += 1
+            self._is_hanging = True
+        else:
+            began = time.perf_counter()
+            service_s = self._server.service_time_s()
+            loop = asyncio.get_running_loop()
+            self._held = loop.call_later(service_s, self._answer, mode, began)
+
+    def _answer(self, mode: ServerMode, began: float) -> None:
+        self._held = None
+        if mode is ServerMode.ERROR:
+            self._server.counters.errors += 1
+            self._write(500)
+            return
+        self._server.counters.served += 1
+        held_us = (time.perf_counter() - began) * 1e6
+        self._write(200, body=ServedBody(self._server.name, self._calls, held_us).encode())
+
+    def _write(self, status: int, headers: dict[str, str] | None = None, body: bytes = b"") -> None:
+        if self._transport is not None:
+            self._transport.write(format_answer(status, headers or {}, body))
--- /dev/null
+++ b/tests/scale/test_server_standin.py
@@ -0,0 +1,180 @@
+"""The server stand-in and the load client, over loopback sockets."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator, Callable, Coroutine
+from contextlib import asynccontextmanager
+from typing import Any
+
+import pytest
+
+from scale.http1 import MessageReader, format_answer, format_request
+from scale.load import (
+    NO_ANSWER,
+    CallResult,
+    HttpClient,
+    LatencyHistogram,
+    format_call,
+    poisson_arrivals,
+    run_open_loop,
+)
+from scale.standins.server import ServedBody, ServerMode, ServerStandin, exponential_service_times
+
+PATIENCE_S = 20.0
+CALL = format_call("read", "0000000000000001", 2.0)
+
+
+@asynccontextmanager
+async def server_and_client(service_s: float = 0.0) -> AsyncIterator[tuple[ServerStandin, HttpClient]]:
+    server = ServerStandin("s-0", lambda: service_s)
+    await server.start()
+    client = HttpClient(server.address)
+    try:
+        async with asyncio.timeout(PATIENCE_S):
+            yield server, client
+    finally:
+        client.close()
+        server.die()
+
+
+async def call(client: HttpClient, request: bytes = CALL, limit_s: float = PATIENCE_S) -> CallResult:
+    return await client.call(request, 0.0, limit_s)
+
+
+async def until(condition: Callable[[], bool]) -> None:
+    while not condition():
+        await asyncio.sleep(0.001)
+
+
+def run(scene: Callable[[], Coroutine[Any, Any, None]]) -> None:
+    asyncio.run(scene())
+
+
+def test_messages_are_cut_whatever_the_pieces() -> None:
+    written = format_request("POST", "/api/7", {"X-Call-Id": "a"}, b"body") + format_answer(200, {}, b"")
+    reader = MessageReader()
+    read = [message for byte in written for message in reader.feed(bytes([byte]))]
+    assert (read[0].target, read[0].headers["x-call-id"], read[0].body) == ("/api/7", "a", b"body")
+    assert read[1].status == 200 and read[1].body == b""
+
+
+def test_connection_is_kept_and_its_calls_are_counted() -> None:
+    async def scene() -> None:
+        async with server_and_client() as (server, client):
+            bodies = [ServedBody.decode((await call(client)).body) for _ in range(3)]
+            assert [each.connection_call for each in bodies] == [1, 2, 3]
+            assert {each.server for each in bodies} == {"s-0"}
+            assert server.counters.connections == 1 and server.counters.served == 3
+
+    run(scene)
+
+
+@pytest.mark.parametrize(
+    ("mode", "status", "counter"),
+    [(ServerMode.ERROR, 500, "errors"), (ServerMode.REJECT, 503, "rejected")],
+)
+def test_mode_decides_the_answer(mode: ServerMode, status: int, counter: str) -> None:
+    async def scene() -> None:
+        async with server_and_client() as (server, client):
+            server.mode = mode
+            assert (await call(client)).status == status
+            assert getattr(server.counters, counter) == 1 and server.counters.served == 0
+
+    run(scene)
+
+
+def test_draining_server_serves_what_it_holds_and_rejects_what_comes() -> None:
+    async def scene() -> None:
+        async with server_and_client(service_s=0.05) as (server, client):
+            held = asyncio.create_task(call(client))
+            await until(lambda: server.counters.requests == 1)
+            server.drain()
+            assert (await call(client)).status == 503
+            assert (await held).status == 200
+            assert (server.counters.rejected, server.counters.served) == (1, 1)
+
+    run(scene)
+
+
+def test_hanging_server_keeps_the_connection_and_counts_the_abandoned_call() -> None:
+    async def scene() -> None:
+        async with server_and_client() as (server, client):
+            server.mode = ServerMode.HANG
+            assert (await call(client, limit_s=0.05)).status == NO_ANSWER
+            await until(lambda: server.counters.abandoned == 1)
+            assert server.counters.hung == 1
+
+    run(scene)
+
+
+def test_dead_server_resets_its_connections_and_refuses_new_ones() -> None:
+    async def scene() -> None:
+        async with server_and_client(service_s=PATIENCE_S) as (server, client):
+            held = asyncio.create_task(call(client))
+            await until(lambda: server.counters.requests == 1)
+            server.die()
+            assert (await held).status == NO_ANSWER
+            assert (await call(client)).status == NO_ANSWER
+            assert server.counters.requests == 1
+
+    run(scene)
+
+
+def test_probe_is_answered_only_where_probes_are_allowed() -> None:
+    probe = format_request("GET", "/health/live", {"Host": "s"})
+
+    async def scene() -> None:
+        async with server_and_client() as (server, client):
+            assert (await call(client, probe)).status == 404
+            server.allow_probes = True
+            assert (await call(client, probe)).status == 200
+            server.drain()
+            assert (await call(client, probe)).status == 503
+            assert server.counters.probes == 2 and server.counters.requests == 0
+
+    run(scene)
+
+
+def test_request_over_a_busy_connection_breaks_the_protocol() -> None:
+    async def scene() -> None:
+        async with server_and_client(service_s=PATIENCE_S) as (server, client):
+            assert (await call(client, CALL + CALL)).status == NO_ANSWER
+            assert server.counters.overlapping == 1
+
+    run(scene)
+
+
+def test_service_times_and_arrivals_repeat_for_a_seed() -> None:
+    first, second = exponential_service_times(0.01, 5), exponential_service_times(0.01, 5)
+    assert [first() for _ in range(5)] == [second() for _ in range(5)]
+    arrivals = poisson_arrivals(100.0, 2.0, 5)
+    assert arrivals == poisson_arrivals(100.0, 2.0, 5) == sorted(arrivals)
+    assert 0.0 <= arrivals[0] and arrivals[-1] <= 2.0 and arrivals != poisson_arrivals(100.0, 2.0, 6)
+
+
+def test_open_loop_waits_for_no_answer() -> None:
+    started: list[int] = []
+
+    async def scene() -> None:
+        last_started = asyncio.Event()
+
+        async def start_call(number: int, arrived_at: float) -> CallResult:
+            started.append(number)
+            if number == 2:
+                last_started.set()
+            await last_started.wait()  # the first call is answered only once the last has been sent
+            return CallResult(arrived_at, arrived_at, arrived_at, 200, b"")
+
+        async with asyncio.timeout(PATIENCE_S):
+            results = await run_open_loop([0.0, 0.0, 0.001], start_call)
+        assert started == [0, 1, 2] and len(results) == 3
+
+    run(scene)
+
+
+def test_histogram_gives_quantiles_to_three_digits() -> None:
+    histogram = LatencyHistogram(range(1, 1001))
+    assert histogram.count == 1000
+    assert histogram.quantile(50) == pytest.approx(500, rel=0.01)
+    assert histogram.quantile(99) == pytest.approx(990, rel=0.01)
