Add the demo command and a sample configuration to start the sidecar from

A new user found no configuration to start the program with, and nothing to look at after the set-up. deploy/sample/config.json starts the program as it stands, docs/CONFIGURATION.md explains each of its keys, and tests hold both to that. 'python -m scale demo' runs one real sidecar over stand-ins, drains a server and kills another under 100 calls a second.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 BIN = .venv/bin
 
-.PHONY: setup test lint check
+.PHONY: setup test lint check demo
 
 setup:
 	sh deploy/build.sh
@@ -16,3 +16,6 @@
 	$(BIN)/mypy
 
 check: lint test
+
+demo: setup
+	$(BIN)/python -m scale demo
--- a/scale/cli.py
+++ b/scale/cli.py
@@ -11,12 +11,14 @@
 import structlog
 import typer
 
+from scale.demo import format_outcome, run_demo
 from scale.errors import ScaleError
 from scale.kinds import load_experiment, run_experiment
 from scale.logs import configure_logs
 from scale.report import format_table, write_plots
 from scale.results import ResultWriter, read_results
 
+EXIT_FAULT = 1
 EXIT_BAD_INPUT = 2
 
 app = typer.Typer(no_args_is_help=True, add_completion=False, help="Measure the sidecar at fleet size.")
@@ -57,6 +59,23 @@
             log.info("plot written", path=str(path))
 
 
+@app.command()
+def demo(
+    duration: Annotated[float, typer.Option(min=3.0, max=60.0, help="Seconds of calls.")] = 6.0,
+    rate: Annotated[float, typer.Option(min=10.0, max=500.0, help="Calls a second.")] = 100.0,
+    seed: Annotated[int, typer.Option(min=0, help="Seed of arrivals and service times.")] = 1,
+) -> None:
+    """Show one real sidecar while a server is drained and another killed; exit code 0 if all went well."""
+    outcome = run_demo(duration, rate, seed, typer.echo)
+    typer.echo(format_outcome(outcome))
+    faults = outcome.faults()
+    for fault in faults:
+        typer.echo(f"FAULT: {fault}")
+    if faults:
+        raise typer.Exit(EXIT_FAULT)
+    typer.echo("all went as it should")
+
+
 def _interrupt(number: int, frame: FrameType | None) -> None:
     raise KeyboardInterrupt
 
--- /dev/null
+++ b/scale/sidecar_process.py
@@ -0,0 +1,84 @@
+"""Starts one real sidecar, `python -m topazbank`, as a process of its own, from the sample configuration."""
+
+from __future__ import annotations
+
+import http.client
+import json
+import os
+import socket
+import sys
+import time
+from collections.abc import Mapping, Sequence
+from pathlib import Path
+from typing import Any
+
+from scale.errors import ScaleError
+from scale.load import Address
+from scale.processes import ManagedProcess, ProcessGroup
+
+SAMPLE_CONFIG = Path(__file__).resolve().parent.parent / "deploy" / "sample" / "config.json"
+PROGRAM = (sys.executable, "-m", "topazbank")
+READY_WITHIN_S = 15.0
+
+_ASK_EVERY_S = 0.05
+_ASK_LIMIT_S = 1.0
+
+
+class SidecarError(ScaleError):
+    """A sidecar that did not start; the text holds the last line of its log."""
+
+
+def sample_config(listen: Address, discovery: Address) -> dict[str, Any]:
+    """The sample configuration with addresses of this run."""
+    config: dict[str, Any] = json.loads(SAMPLE_CONFIG.read_text(encoding="utf-8"))
+    return config | {"listen": format_address(listen), "discovery": format_address(discovery)}
+
+
+def format_address(address: Address) -> str:
+    """An address as the configuration and the registry write it."""
+    return f"{address[0]}:{address[1]}"
+
+
+def free_address() -> Address:
+    """A loopback address whose port the kernel has just picked; nothing else is likely to take it soon."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        host, port = probe.getsockname()
+    return host, port
+
+
+def start_sidecar(
+    group: ProcessGroup, config: Mapping[str, Any], folder: Path, program: Sequence[str] = PROGRAM
+) -> ManagedProcess:
+    """Start a sidecar whose configuration and log stand in the folder."""
+    path = folder / "config.json"
+    path.write_text(json.dumps(config), encoding="utf-8")
+    inherited = {name: value for name, value in os.environ.items() if not name.startswith("RELAY_")}
+    with log_path(folder).open("wb") as log:
+        return group.start(program, inherited | {"RELAY_CONFIG": str(path)}, stderr=log)
+
+
+def log_path(folder: Path) -> Path:
+    """Where a sidecar's log stands."""
+    return folder / "sidecar.log"
+
+
+def await_ready(sidecar: ManagedProcess, listen: Address, folder: Path) -> None:
+    """Wait until a sidecar calls itself ready; raise SidecarError if it ends or takes longer than 15 s."""
+    give_up_at = time.monotonic() + READY_WITHIN_S
+    while not _is_ready(listen):
+        if not sidecar.is_running() or time.monotonic() > give_up_at:
+            lines = log_path(folder).read_text(encoding="utf-8", errors="replace").splitlines()
+            raise SidecarError(f"the sidecar did not start: {lines[-1] if lines else 'it logged nothing'}")
+        time.sleep(_ASK_EVERY_S)
+
+
+def _is_ready(listen: Address) -> bool:
+    connection = http.client.HTTPConnection(*listen, timeout=_ASK_LIMIT_S)
+    try:
+        connection.request("GET", "/health/ready")
+        return connection.getresponse().status == http.HTTPStatus.OK
+    except (OSError, http.client.HTTPException):
+        return False
+    finally:
+        connection.close()
--- /dev/null
+++ b/tests/scale/test_demo.py
@@ -0,0 +1,132 @@
+"""The demonstration, and the sample configuration that it starts the sidecar from."""
+
+from __future__ import annotations
+
+import json
+import signal
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import psutil
+import pytest
+
+from scale.demo import DRAINED, SERVERS, DemoOutcome, Phase, ServerOutcome, format_outcome
+from scale.load import NO_ANSWER, CallResult
+from scale.processes import ProcessGroup
+from scale.sidecar_process import (
+    SAMPLE_CONFIG,
+    SidecarError,
+    await_ready,
+    free_address,
+    sample_config,
+    start_sidecar,
+)
+from scale.standins.server import ServedBody
+from topazbank.__main__ import read_config
+
+DEMO = [sys.executable, "-m", "scale", "demo", "--duration", "3", "--rate", "60"]
+CONFIGURATION_PAGE = SAMPLE_CONFIG.parents[2] / "docs" / "CONFIGURATION.md"
+PATIENCE_S = 60.0
+
+
+def test_demo_shows_calls_served_through_a_drain_and_a_kill() -> None:
+    ended = subprocess.run(DEMO, capture_output=True, text=True, check=False, timeout=PATIENCE_S)
+    assert ended.returncode == 0, ended.stdout + ended.stderr
+    assert "all went as it should" in ended.stdout and "refused 0, failed 0" in ended.stdout
+
+
+def test_interrupted_demo_ends_its_sidecar() -> None:
+    demo = subprocess.Popen(DEMO, stdout=subprocess.PIPE, stderr=subprocess.DEVNULL, text=True)
+    try:
+        assert demo.stdout is not None
+        first_line = demo.stdout.readline()
+        sidecar = psutil.Process(int(first_line.split("process ")[1].split(",")[0]))
+        demo.send_signal(signal.SIGINT)
+        assert demo.wait(PATIENCE_S) != 0
+        assert not sidecar.is_running()
+        demo.stdout.close()
+    finally:
+        demo.kill()
+        demo.wait()
+
+
+def result(server: str, at: float, status: int = 200) -> CallResult:
+    return CallResult(at, at, at + 0.002, status, ServedBody(server, 1, 1000.0).encode())
+
+
+def outcome(**changes: Any) -> DemoOutcome:
+    """A run in which all went well: three phases of a second each, every server called as it should be."""
+    calls = [
+        *(result(f"s-{number}", 0.5) for number in range(SERVERS)),
+        *(result(name, 1.5) for name in ("s-0", "s-2", "s-3")),
+        *(result(name, 2.5) for name in ("s-0", "s-3")),
+    ]
+    phases = [Phase("all up", 1.0), Phase("drained", 2.0), Phase("killed", 3.0)]
+    servers = [ServerOutcome(f"s-{number}", 3, 0, 1.0) for number in range(SERVERS)]
+    given: dict[str, Any] = {"results": calls, "phases": phases, "servers": servers, "drain_told_at": 1.0}
+    return DemoOutcome(**(given | {"exit_code": 0, "log": ["drained"]} | changes))
+
+
+def test_outcome_without_fault_is_shown_as_a_table() -> None:
+    good = outcome()
+    assert good.faults() == []
+    assert [dict(each) for each in good.served_by_phase()][2] == {"s-0": 1, "s-3": 1}
+    assert "calls: 9, served 9, refused 0, failed 0" in format_outcome(good)
+
+
+@pytest.mark.parametrize(
+    ("changes", "fault"),
+    [
+        ({"results": [*outcome().results, result("s-0", 2.5, 503)]}, "1 calls were refused"),
+        ({"results": [*outcome().results, result("s-0", 2.5, NO_ANSWER)]}, "1 calls failed"),
+        ({"results": outcome().results[1:]}, "while all were up"),
+        ({"results": outcome().results[:-1]}, "that stayed up got no calls"),
+        ({"results": []}, "no calls were made"),
+        ({"drain_told_at": -1.0}, f"s-{DRAINED} got calls later than 1 s"),
+        ({"exit_code": 1}, "exit code after SIGTERM was 1"),
+        ({"exit_code": None}, "exit code after SIGTERM was None"),
+    ],
+)
+def test_what_goes_wrong_is_named(changes: dict[str, Any], fault: str) -> None:
+    assert any(fault in each for each in outcome(**changes).faults())
+
+
+def test_program_starts_from_the_sample_configuration(tmp_path: Path) -> None:
+    listen = free_address()
+    with ProcessGroup() as group:
+        sidecar = start_sidecar(group, sample_config(listen, free_address()), tmp_path)
+        await_ready(sidecar, listen, tmp_path)
+    assert sidecar.popen.returncode == 0
+
+
+def test_sidecar_that_does_not_start_is_reported_with_its_last_line(tmp_path: Path) -> None:
+    listen = free_address()
+    with ProcessGroup() as group:
+        sidecar = start_sidecar(group, sample_config(listen, listen) | {"seed": 7}, tmp_path)
+        with pytest.raises(SidecarError, match="seed: hex digits are needed"):
+            await_ready(sidecar, listen, tmp_path)
+
+
+def test_sample_configuration_is_taken_as_it_stands() -> None:
+    config = read_config({"RELAY_CONFIG": str(SAMPLE_CONFIG)})
+    settings = config.settings
+    assert [each.name for each in settings.classes] == ["read", "update", "send"]
+    assert settings.limits.max_attempts == 4 and settings.limits.allow_hedging
+    assert settings.rules.drain_grace_us == 1_000_000
+
+
+def keys_of(given: object) -> set[str]:
+    if isinstance(given, dict):
+        return set(given).union(*(keys_of(each) for each in given.values()))
+    if isinstance(given, list):
+        return set().union(*(keys_of(each) for each in given))
+    return set()
+
+
+def test_every_key_of_the_sample_configuration_is_documented() -> None:
+    page = CONFIGURATION_PAGE.read_text(encoding="utf-8")
+    keys = keys_of(json.loads(SAMPLE_CONFIG.read_text(encoding="utf-8")))
+    assert len(keys) > 50
+    assert [key for key in sorted(keys) if f"`{key}`" not in page] == []
