Add call graphs in virtual time to the scale rig: real balancers at each hop

Services up to 16 deep, a sidecar with its own policy beside each server, servers as queues, faults with begin and end; plain baselines run in the same rig. Two runs with one seed give one digest.

--- /dev/null
+++ b/scale/callgraph/__init__.py
@@ -0,0 +1,1 @@
+"""Call graphs in virtual time: a policy decides at each hop, and servers are queues."""
--- /dev/null
+++ b/scale/callgraph/experiment.py
@@ -0,0 +1,118 @@
+"""What an experiment of the kind "callgraph" names: the graph, the load, the faults and the policies."""
+
+from __future__ import annotations
+
+from enum import Enum, unique
+from typing import Literal, Self
+
+from pydantic import BaseModel, ConfigDict, Field, model_validator
+
+from scale.experiment import Experiment
+
+
+@unique
+class PolicyName(Enum):
+    """Who decides at each hop."""
+
+    BALANCER = "balancer"  # the sidecar's own Balancer
+    BALANCER_ONE_ATTEMPT = "balancer-one-attempt"  # the same with max_attempts = 1
+    NO_RETRY = "no-retry"  # the less loaded of two random servers, one attempt
+    FIXED_RETRIES = "fixed-retries"  # the same, with two more attempts after failures
+    RANDOM_CHOICE = "random-choice"  # a random server, one attempt
+
+
+@unique
+class FaultKind(Enum):
+    """What goes wrong."""
+
+    NONE = "none"
+    ERRORS = "errors"  # a share of the calls on one service is answered with an error
+    SERVICE_LOST = "service-lost"  # all processes of one service are dead, and restarted at the end
+    ZONE_LOST = "zone-lost"  # a zone and the rest do not reach each other
+    REGION_CUT = "region-cut"  # a region and the others do not reach each other
+
+
+class Part(BaseModel):
+    """A part of an experiment file: no key that the model does not name."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class Delays(Part):
+    """Network delays, one way."""
+
+    same_zone_ms: float = Field(default=0.2, ge=0.0)
+    same_region_ms: float = Field(default=0.5, ge=0.0)
+    other_region_ms: float = Field(default=3.0, ge=0.0)
+
+
+class Servers(Part):
+    """The servers of each service."""
+
+    count: int = Field(default=6, ge=1, le=1_024)
+    concurrency: int = Field(default=2, ge=1)
+    queue_limit: int = Field(default=20, ge=0)  # calls that wait; one more is turned away
+    service_time_ms: float = Field(default=10.0, gt=0.0)  # mean; exponentially distributed
+
+
+class Calls(Part):
+    """The root calls' one class, and the limits for attempts at each hop."""
+
+    deadline_ms: int = Field(default=1_500, ge=1)
+    latency_target_ms: int = Field(default=400, ge=1)
+    max_attempts: int = Field(default=5, ge=1)
+    repeatable: bool = True  # whether an attempt that may have run may be repeated
+
+
+class Fault(Part):
+    """A fault with its begin and end, in seconds since the start of the run."""
+
+    kind: FaultKind = FaultKind.NONE
+    begin_s: float = Field(default=0.0, ge=0.0)
+    end_s: float = Field(default=0.0, ge=0.0)
+    share: float = Field(default=1.0, ge=0.0, le=1.0)  # of the calls on the service, for "errors"
+    depth: int = Field(default=0, ge=0)  # of the service, for "errors" and "service-lost"; 0: the deepest
+
+    @model_validator(mode="after")
+    def _ends_after_its_begin(self) -> Self:
+        if self.kind is not FaultKind.NONE and self.end_s <= self.begin_s:
+            raise ValueError("end_s must be greater than begin_s")
+        return self
+
+
+class CallGraphExperiment(Experiment):
+    """One run for each combination of the swept lists: depth, load, fault share, policy and seed."""
+
+    kind: Literal["callgraph"]
+    depths: list[int] = Field(default=[16], min_length=1)
+    loads: list[float] = Field(default=[0.5], min_length=1)  # of the capacity of a service
+    fault_shares: list[float] = Field(default=[], description="one run each; empty: the fault's own share")
+    policies: list[PolicyName] = Field(default=[PolicyName.BALANCER], min_length=1)
+    seeds: int = Field(default=1, ge=1, le=16)  # runs with seed, seed + 1, ...
+    fan_out: int = Field(default=1, ge=1, le=4)
+    root_callers: int = Field(default=6, ge=1, le=1_024)
+    regions: int = Field(default=1, ge=1, le=16)
+    zones_per_region: int = Field(default=2, ge=1, le=16)
+    warm_up_s: float = Field(default=2.0, ge=0.0)  # not measured
+    servers: Servers = Servers()
+    calls: Calls = Calls()
+    delays: Delays = Delays()
+    fault: Fault = Fault()
+
+    @model_validator(mode="after")
+    def _times_fit(self) -> Self:
+        if self.warm_up_s + self.calls.deadline_ms / 1_000.0 >= self.duration_s:
+            raise ValueError("duration_s must be greater than warm_up_s and the deadline together")
+        if self.fault.kind is not FaultKind.NONE:
+            deadline_s = self.calls.deadline_ms / 1_000.0
+            if self.fault.begin_s <= self.warm_up_s + deadline_s:
+                raise ValueError("fault.begin_s must be later than warm_up_s by more than the deadline")
+            if self.fault.end_s >= self.duration_s - deadline_s:
+                raise ValueError("fault.end_s must be earlier than duration_s by more than the deadline")
+        if not all(1 <= depth <= 16 for depth in self.depths):
+            raise ValueError("depths must be from 1 to 16")
+        if not all(0.0 < load <= 4.0 for load in self.loads):
+            raise ValueError("loads must be greater than 0 and at most 4")
+        if not all(0.0 <= share <= 1.0 for share in self.fault_shares):
+            raise ValueError("fault_shares must be from 0 to 1")
+        return self
--- /dev/null
+++ b/scale/callgraph/graph.py
@@ -0,0 +1,136 @@
+"""The call graph: services one below the other, a sidecar beside each server, and root callers above."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+import numpy as np
+
+from scale.callgraph.experiment import CallGraphExperiment, PolicyName
+from scale.callgraph.loop import EventLoop
+from scale.callgraph.network import Location, Network
+from scale.callgraph.policies import make_policy
+from scale.callgraph.server import Server
+from scale.callgraph.sidecar import SimulatedSidecar
+from topazbank.interface import (
+    Discovery,
+    Endpoint,
+    Idempotency,
+    Limits,
+    RegistryUpdateKind,
+    ServiceClass,
+    Settings,
+)
+
+_SERVICE_CLASS = "call"
+_TICK_US = 1_000
+_SEED_BITS = 63
+_DIAL_TIMEOUT_US = 120_000
+
+
+@dataclass(slots=True, eq=False)
+class Service:
+    """One service: its servers, and the sidecars that call it."""
+
+    depth: int  # 1: called by the root callers
+    servers: dict[str, Server]
+    callers: list[SimulatedSidecar]
+
+    def calls_received(self) -> int:
+        """Calls that came to its servers so far, those turned away included."""
+        return sum(server.calls_received for server in self.servers.values())
+
+    def endpoints(self) -> list[Endpoint]:
+        """What the registry tells of it; the registry hears of no fault, only of restarts."""
+        return [
+            Endpoint(server.name, server.location.zone, started_at=server.started_at)
+            for server in self.servers.values()
+        ]
+
+    def announce(self, kind: RegistryUpdateKind) -> None:
+        """Tell all its callers of its servers."""
+        for caller in self.callers:
+            caller.update_registry(kind, self.endpoints())
+
+
+class CallGraph:
+    """Services 1 to `depth`; each server calls the next service through its own sidecar."""
+
+    def __init__(
+        self, loop: EventLoop, experiment: CallGraphExperiment, depth: int, policy: PolicyName, seed: int
+    ) -> None:
+        self.network = Network(experiment.delays)
+        self.locations = _locations(experiment)
+        self._loop = loop
+        self._experiment = experiment
+        self._policy = policy
+        self._seeds = _seeds(np.random.SeedSequence(seed))
+        self.services = [self._make_service(number) for number in range(1, depth + 1)]
+        for upper, lower in zip(self.services, self.services[1:], strict=False):
+            for server in upper.servers.values():
+                server.downstream = [self._make_sidecar(server.location, lower)] * experiment.fan_out
+        self.root_callers = [
+            self._make_sidecar(self.locations[number % len(self.locations)], self.services[0])
+            for number in range(experiment.root_callers)
+        ]
+        for service in self.services:
+            service.announce(RegistryUpdateKind.SNAPSHOT)
+
+    @property
+    def deepest(self) -> Service:
+        """The service that calls no other."""
+        return self.services[-1]
+
+    def service_at(self, depth: int) -> Service:
+        """A service by its depth; 0 is the deepest."""
+        return self.services[depth - 1]
+
+    def _make_service(self, depth: int) -> Service:
+        servers = {}
+        for number in range(self._experiment.servers.count):
+            # Shifted from service to service, so that no zone holds the first server of each.
+            location = self.locations[(number + depth) % len(self.locations)]
+            name = f"service-{depth}-server-{number}"
+            servers[name] = Server(self._loop, name, location, self._experiment.servers, next(self._seeds))
+        return Service(depth, servers, [])
+
+    def _make_sidecar(self, location: Location, service: Service) -> SimulatedSidecar:
+        settings = _settings(self._experiment, location)
+        seed = int(next(self._seeds).generate_state(1, np.uint64)[0]) >> (64 - _SEED_BITS)
+        policy = make_policy(self._policy, settings, seed)
+        sidecar = SimulatedSidecar(
+            self._loop, self.network, location, policy, service.servers, _SERVICE_CLASS, settings.limits
+        )
+        service.callers.append(sidecar)
+        return sidecar
+
+
+def _seeds(root: np.random.SeedSequence) -> Iterator[np.random.SeedSequence]:
+    while True:
+        yield root.spawn(1)[0]
+
+
+def _locations(experiment: CallGraphExperiment) -> list[Location]:
+    return [
+        Location(f"region-{region}", f"region-{region}-zone-{zone}")
+        for zone in range(experiment.zones_per_region)
+        for region in range(experiment.regions)
+    ]
+
+
+def _settings(experiment: CallGraphExperiment, location: Location) -> Settings:
+    calls = experiment.calls
+    service_class = ServiceClass(
+        _SERVICE_CLASS,
+        deadline_us=calls.deadline_ms * 1_000,
+        latency_target_us=min(calls.latency_target_ms, calls.deadline_ms) * 1_000,
+        idempotency=Idempotency.SAFE if calls.repeatable else Idempotency.UNSAFE,
+    )
+    return Settings(
+        classes=(service_class,),
+        zone=location.zone,
+        tick_us=_TICK_US,
+        discovery=Discovery.PUSHED,
+        limits=Limits(max_attempts=calls.max_attempts, allow_cancel=True, dial_timeout_us=_DIAL_TIMEOUT_US),
+    )
--- /dev/null
+++ b/scale/callgraph/loop.py
@@ -0,0 +1,35 @@
+"""An event loop in virtual time."""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Callable
+from typing import Any
+
+MICROSECONDS = 1_000_000  # in a second
+
+
+class EventLoop:
+    """Runs callbacks in the order of their times, and of their scheduling where the times are equal."""
+
+    def __init__(self) -> None:
+        self.now = 0  # microseconds since the start of the run
+        self._queue: list[tuple[int, int, Callable[..., None], tuple[Any, ...]]] = []
+        self._scheduled = 0
+
+    def call_at(self, due: int, callback: Callable[..., None], *arguments: Any) -> None:
+        """Run a callback at a time in microseconds; at once, after what is due now, if that has passed."""
+        self._scheduled += 1
+        heapq.heappush(self._queue, (max(due, self.now), self._scheduled, callback, arguments))
+
+    def call_later(self, delay_us: int, callback: Callable[..., None], *arguments: Any) -> None:
+        """Run a callback after a delay in microseconds."""
+        self.call_at(self.now + delay_us, callback, *arguments)
+
+    def run_until(self, end: int) -> None:
+        """Run all that is due up to a time, and leave the clock there."""
+        while self._queue and self._queue[0][0] <= end:
+            due, _, callback, arguments = heapq.heappop(self._queue)
+            self.now = due
+            callback(*arguments)
+        self.now = end
--- /dev/null
+++ b/scale/callgraph/network.py
@@ -0,0 +1,38 @@
+"""The network between sidecars and servers: delays by place, and places that cannot reach each other."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from scale.callgraph.experiment import Delays
+
+
+@dataclass(frozen=True, slots=True)
+class Location:
+    """Where a process runs."""
+
+    region: str
+    zone: str
+
+
+class Network:
+    """Says how long a message takes from one place to another, and whether it arrives at all."""
+
+    def __init__(self, delays: Delays) -> None:
+        self._same_zone_us = int(delays.same_zone_ms * 1_000)
+        self._same_region_us = int(delays.same_region_ms * 1_000)
+        self._other_region_us = int(delays.other_region_ms * 1_000)
+        self.lost_zones: set[str] = set()
+        self.lost_regions: set[str] = set()  # regions whose links to all others are lost
+
+    def delay_us(self, origin: Location, target: Location) -> int:
+        """One way, in microseconds."""
+        if origin.zone == target.zone:
+            return self._same_zone_us
+        return self._same_region_us if origin.region == target.region else self._other_region_us
+
+    def reaches(self, origin: Location, target: Location) -> bool:
+        """Whether a message sent now would arrive."""
+        if origin.zone != target.zone and self.lost_zones & {origin.zone, target.zone}:
+            return False
+        return origin.region == target.region or not self.lost_regions & {origin.region, target.region}
--- /dev/null
+++ b/scale/callgraph/policies.py
@@ -0,0 +1,111 @@
+"""Who decides at a hop: the sidecar's Balancer, or plain baselines with the same interface."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from scale.callgraph.experiment import PolicyName
+from topazbank.balancer import Balancer
+from topazbank.interface import (
+    Action,
+    AttemptEnded,
+    Event,
+    Fail,
+    Outcome,
+    RegistryUpdated,
+    RegistryUpdateKind,
+    RequestArrived,
+    Send,
+    ServerState,
+    Settings,
+)
+
+_TICKS_EARLY = 2  # an attempt is given up this many ticks before the caller's time is up
+_PLAIN_RETRIES = 2
+
+
+class Policy(Protocol):
+    """Takes events in order and says what to do."""
+
+    def handle(self, now: int, event: Event) -> list[Action]:
+        """Take one event at a time in microseconds; return the actions in order."""
+
+
+@dataclass(slots=True)
+class _PlainRequest:
+    """A request that a plain policy has not answered yet."""
+
+    answer_by: int
+    tried: list[str] = field(default_factory=list)
+
+
+class PlainPolicy:
+    """The least loaded of a few random servers, and a fixed number of further attempts after failures."""
+
+    def __init__(self, settings: Settings, seed: int, drawn: int, retries: int) -> None:
+        self._random = random.Random(seed)
+        self._early_us = _TICKS_EARLY * settings.tick_us
+        self._drawn = drawn
+        self._attempts = 1 + retries
+        self._in_flight: dict[str, int] = {}  # by ready server
+        self._requests: dict[int, _PlainRequest] = {}
+
+    def handle(self, now: int, event: Event) -> list[Action]:
+        """Take one event; what it does not know of is passed over."""
+        match event:
+            case RegistryUpdated():
+                self._update(event)
+            case RequestArrived():
+                request = _PlainRequest(now + event.remaining_us - self._early_us)
+                self._requests[event.request] = request
+                return self._attempt(now, event.request, request)
+            case AttemptEnded():
+                return self._attempt_ended(now, event)
+        return []
+
+    def _update(self, event: RegistryUpdated) -> None:
+        if event.kind is RegistryUpdateKind.SNAPSHOT:
+            self._in_flight.clear()
+        for endpoint in event.servers:
+            if endpoint.state is ServerState.READY:
+                self._in_flight.setdefault(endpoint.server, 0)
+
+    def _attempt(self, now: int, number: int, request: _PlainRequest) -> list[Action]:
+        left = [name for name in self._in_flight if name not in request.tried]
+        if not left or len(request.tried) >= self._attempts or now >= request.answer_by:
+            del self._requests[number]
+            return [Fail(number)]
+        drawn = self._random.sample(left, min(self._drawn, len(left)))
+        server = min(drawn, key=lambda name: self._in_flight[name])
+        request.tried.append(server)
+        self._in_flight[server] += 1
+        return [Send(number, server, request.answer_by)]
+
+    def _attempt_ended(self, now: int, event: AttemptEnded) -> list[Action]:
+        self._in_flight[event.server] -= 1
+        request = self._requests.get(event.request)
+        if request is None:
+            return []
+        if event.outcome is Outcome.DELIVERED:
+            del self._requests[event.request]
+            return []
+        return self._attempt(now, event.request, request)
+
+
+def make_policy(name: PolicyName, settings: Settings, seed: int) -> Policy:
+    """Make the policy of one sidecar."""
+    match name:
+        case PolicyName.BALANCER:
+            return Balancer(settings, seed)
+        case PolicyName.BALANCER_ONE_ATTEMPT:
+            limits = dataclasses.replace(settings.limits, max_attempts=1)
+            return Balancer(dataclasses.replace(settings, limits=limits), seed)
+        case PolicyName.NO_RETRY:
+            return PlainPolicy(settings, seed, drawn=2, retries=0)
+        case PolicyName.FIXED_RETRIES:
+            return PlainPolicy(settings, seed, drawn=2, retries=_PLAIN_RETRIES)
+        case PolicyName.RANDOM_CHOICE:
+            return PlainPolicy(settings, seed, drawn=1, retries=0)
--- /dev/null
+++ b/scale/callgraph/server.py
@@ -0,0 +1,136 @@
+"""Servers: a queue with a limit, a number of calls served at once, and calls of their own further down."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum, unique
+from typing import Protocol
+
+import numpy as np
+
+from scale.callgraph.experiment import Servers
+from scale.callgraph.loop import EventLoop
+from scale.callgraph.network import Location
+from topazbank.interface import Outcome
+
+_ERROR_TIME_US = 1_000  # a failing call is answered this soon: it holds no place in the queue
+_DRAWN_AT_ONCE = 256  # service times
+
+
+@unique
+class CallResult(Enum):
+    """What a sidecar answered to its application."""
+
+    SERVED = "served"
+    REFUSED = "refused"
+    FAILED = "failed"
+
+
+class Sidecar(Protocol):
+    """What an application sees of its sidecar."""
+
+    def call(self, remaining_us: int, done: Callable[[CallResult], None]) -> None:
+        """Make a call; `done` is told of its end once."""
+
+
+@dataclass(slots=True, eq=False)
+class ServerCall:
+    """A call that a server has received."""
+
+    answer: Callable[[Outcome], None]
+    answer_by: int
+    cancelled: bool = False
+    results_missing: int = 0
+    failed: bool = False
+
+
+class Server:
+    """One process of a service.
+
+    A call that waits longer than its caller does is dropped unanswered.  A call given up on by its caller is
+    taken out of the queue; once begun it runs on, as servers of the protocol do.
+    """
+
+    def __init__(
+        self, loop: EventLoop, name: str, location: Location, size: Servers, seed: np.random.SeedSequence
+    ) -> None:
+        self.name = name
+        self.location = location
+        self.downstream: list[Sidecar] = []  # one entry for each call of its own
+        self.is_up = True
+        self.started_at: int | None = None
+        self.starts = 0
+        self.error_share = 0.0
+        self.calls_received = 0
+        self._loop = loop
+        self._size = size
+        self._random = np.random.default_rng(seed)
+        self._service_times: list[int] = []
+        self._waiting: deque[ServerCall] = deque()
+        self._being_served = 0
+
+    def receive(self, call: ServerCall) -> None:
+        """Take a call, or turn it away where the queue is full."""
+        self.calls_received += 1
+        if self.error_share > 0.0 and self._random.random() < self.error_share:
+            self._loop.call_later(_ERROR_TIME_US, call.answer, Outcome.ERROR)
+        elif self._being_served < self._size.concurrency:
+            self._serve(call)
+        elif len(self._waiting) < self._size.queue_limit:
+            self._waiting.append(call)
+        else:
+            call.answer(Outcome.FULL)
+
+    def stop(self) -> None:
+        """Die with all that is in hand."""
+        self.is_up = False
+        self.starts += 1
+        self._waiting.clear()
+        self._being_served = 0
+
+    def start(self) -> None:
+        """Be there again, as a new process."""
+        self.is_up = True
+        self.started_at = self._loop.now
+
+    def _serve(self, call: ServerCall) -> None:
+        self._being_served += 1
+        self._loop.call_later(self._next_service_time(), self._served, call, self.starts)
+
+    def _next_service_time(self) -> int:
+        if not self._service_times:
+            mean_us = self._size.service_time_ms * 1_000
+            self._service_times = self._random.exponential(mean_us, _DRAWN_AT_ONCE).astype(int).tolist()
+        return self._service_times.pop()
+
+    def _served(self, call: ServerCall, starts: int) -> None:
+        if starts != self.starts:
+            return  # the process died meanwhile
+        self._being_served -= 1
+        while self._waiting and self._being_served < self._size.concurrency:
+            waiting = self._waiting.popleft()
+            if not waiting.cancelled and waiting.answer_by > self._loop.now:
+                self._serve(waiting)
+        self._call_downstream(call)
+
+    def _call_downstream(self, call: ServerCall) -> None:
+        """Make the calls of its own, side by side, with what is left of the caller's time."""
+        remaining_us = call.answer_by - self._loop.now
+        if not self.downstream:
+            call.answer(Outcome.DELIVERED)
+        elif remaining_us > 0:
+            call.results_missing = len(self.downstream)
+            for sidecar in self.downstream:
+                sidecar.call(remaining_us, lambda result: self._downstream_ended(call, result))
+
+    def _downstream_ended(self, call: ServerCall, result: CallResult) -> None:
+        """Answer when all results are there: 200, or 500 if any call was refused or failed.
+
+        A 503 without `X-Rejected` would be the same to the caller's sidecar: the call may have run.
+        """
+        call.results_missing -= 1
+        call.failed = call.failed or result is not CallResult.SERVED
+        if not call.results_missing:
+            call.answer(Outcome.ERROR if call.failed else Outcome.DELIVERED)
--- /dev/null
+++ b/scale/callgraph/sidecar.py
@@ -0,0 +1,215 @@
+"""Hosts one policy: turns calls and their ends into events, and carries out its actions."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass, field
+
+from scale.callgraph.loop import EventLoop
+from scale.callgraph.network import Location, Network
+from scale.callgraph.policies import Policy
+from scale.callgraph.server import CallResult, Server, ServerCall
+from topazbank.interface import (
+    Action,
+    AttemptEnded,
+    Cancel,
+    Endpoint,
+    Fail,
+    Limits,
+    Outcome,
+    Refuse,
+    RegistryUpdated,
+    RegistryUpdateKind,
+    RequestArrived,
+    Send,
+    SetTimer,
+    TimerFired,
+)
+
+
+@dataclass(slots=True, eq=False)
+class _Attempt:
+    """An attempt that has not ended for its sidecar."""
+
+    index: int
+    server: Server
+    sent_at: int
+    starts: int  # of the server's process, when it was sent
+    call: ServerCall | None = None  # once it has reached the server
+
+
+@dataclass(slots=True, eq=False)
+class _Request:
+    """A call of the application that has attempts out or no answer yet."""
+
+    done: Callable[[CallResult], None]
+    attempts_sent: int = 0
+    out: dict[int, _Attempt] = field(default_factory=dict)  # by index
+    answered: bool = False
+
+
+@dataclass(slots=True)
+class _IdleConnections:
+    """Connections to one server that are open and carry nothing."""
+
+    count: int = 0
+    starts: int = 0  # of the process they lead to
+
+
+class SimulatedSidecar:
+    """One sidecar towards one service."""
+
+    def __init__(
+        self,
+        loop: EventLoop,
+        network: Network,
+        location: Location,
+        policy: Policy,
+        servers: Mapping[str, Server],
+        service_class: str,
+        limits: Limits,
+    ) -> None:
+        self.location = location
+        self._loop = loop
+        self._network = network
+        self._policy = policy
+        self._servers = servers
+        self._service_class = service_class
+        self._limits = limits
+        self._requests: dict[int, _Request] = {}
+        self._next_request = 1
+        self._idle: dict[str, _IdleConnections] = {}
+
+    def update_registry(self, kind: RegistryUpdateKind, endpoints: Sequence[Endpoint]) -> None:
+        """Tell the policy of the servers."""
+        self._handle(RegistryUpdated(kind, endpoints, 1))
+
+    def call(self, remaining_us: int, done: Callable[[CallResult], None]) -> None:
+        """Make a call on the service; `done` is told of its end once."""
+        number, self._next_request = self._next_request, self._next_request + 1
+        self._requests[number] = _Request(done)
+        self._handle(RequestArrived(number, self._service_class, None, None, remaining_us))
+
+    def _handle(self, event: RegistryUpdated | RequestArrived | AttemptEnded | TimerFired) -> None:
+        for action in self._policy.handle(self._loop.now, event):
+            self._perform(action)
+
+    def _perform(self, action: Action) -> None:
+        match action:
+            case Send():
+                self._send(action)
+            case Refuse():
+                self._answer(action.request, CallResult.REFUSED)
+            case Fail():
+                self._answer(action.request, CallResult.FAILED)
+            case Cancel():
+                # Not at once: what the policy said first is carried out before it hears of the end.
+                self._loop.call_later(0, self._give_up, action.request, action.attempt, Outcome.CANCELLED)
+            case SetTimer():
+                self._loop.call_later(action.in_us, self._handle, TimerFired(action.token))
+
+    def _answer(self, number: int, result: CallResult) -> None:
+        request = self._requests.get(number)
+        if request is None or request.answered:
+            return
+        request.answered = True
+        if not request.out:
+            del self._requests[number]
+        request.done(result)
+
+    # -- Attempts -------------------------------------------------------------------------------------
+
+    def _send(self, action: Send) -> None:
+        request = self._requests[action.request]
+        server = self._servers[action.server]
+        attempt = _Attempt(request.attempts_sent, server, self._loop.now, server.starts)
+        request.out[attempt.index] = attempt
+        request.attempts_sent += 1
+        until = max(action.until, self._loop.now)
+        self._loop.call_at(until, self._give_up, action.request, attempt.index, Outcome.EXPIRED)
+        one_way_us = self._network.delay_us(self.location, server.location)
+        if self._take_connection(server):
+            self._loop.call_later(one_way_us, self._arrive, action.request, attempt, until)
+        else:
+            self._dial(action.request, attempt, until, one_way_us)
+
+    def _take_connection(self, server: Server) -> bool:
+        """Take an idle connection, if one leads to the process that runs now."""
+        idle = self._idle.setdefault(server.name, _IdleConnections())
+        if idle.starts != server.starts:
+            idle.starts, idle.count = server.starts, 0
+        if not idle.count:
+            return False
+        idle.count -= 1
+        return True
+
+    def _dial(self, number: int, attempt: _Attempt, until: int, one_way_us: int) -> None:
+        if not self._network.reaches(self.location, attempt.server.location):
+            timeout_us = self._limits.dial_timeout_us
+            self._loop.call_later(timeout_us, self._end, number, attempt, Outcome.DIAL_FAILED)
+        elif not attempt.server.is_up:
+            self._loop.call_later(2 * one_way_us, self._end, number, attempt, Outcome.DIAL_FAILED)
+        else:
+            self._loop.call_later(3 * one_way_us, self._arrive, number, attempt, until)
+
+    def _arrive(self, number: int, attempt: _Attempt, until: int) -> None:
+        """The attempt is at its server, unless it was given up or the network lost it."""
+        server = attempt.server
+        if not self._is_out(number, attempt) or not self._network.reaches(self.location, server.location):
+            return
+        if not server.is_up:
+            self._respond(number, attempt, Outcome.DROPPED)
+            return
+        attempt.starts = server.starts
+        attempt.call = ServerCall(lambda outcome: self._respond(number, attempt, outcome), until)
+        server.receive(attempt.call)
+
+    def _respond(self, number: int, attempt: _Attempt, outcome: Outcome) -> None:
+        """The server's answer leaves for the sidecar; a process that has died answers nothing."""
+        died = attempt.starts != attempt.server.starts and outcome is not Outcome.DROPPED
+        if died or not self._network.reaches(attempt.server.location, self.location):
+            return
+        one_way_us = self._network.delay_us(attempt.server.location, self.location)
+        self._loop.call_later(one_way_us, self._end, number, attempt, outcome)
+
+    def drop_connections(self, server: Server) -> None:
+        """The server's process has died: attempts that were out there are reset."""
+        for number, request in list(self._requests.items()):
+            for attempt in list(request.out.values()):
+                if attempt.server is server and attempt.call is not None:
+                    self._respond(number, attempt, Outcome.DROPPED)
+
+    def _give_up(self, number: int, index: int, outcome: Outcome) -> None:
+        request = self._requests.get(number)
+        attempt = None if request is None else request.out.get(index)
+        if attempt is None:
+            return
+        if attempt.call is not None:
+            attempt.call.cancelled = True
+        self._end(number, attempt, outcome)
+
+    def _is_out(self, number: int, attempt: _Attempt) -> bool:
+        request = self._requests.get(number)
+        return request is not None and request.out.get(attempt.index) is attempt
+
+    def _end(self, number: int, attempt: _Attempt, outcome: Outcome) -> None:
+        if not self._is_out(number, attempt):
+            return
+        request = self._requests[number]
+        del request.out[attempt.index]
+        if outcome in (Outcome.DELIVERED, Outcome.ERROR, Outcome.FULL):
+            self._keep_connection(attempt)
+        if outcome is Outcome.DELIVERED:
+            self._answer(number, CallResult.SERVED)
+        elapsed_us = self._loop.now - attempt.sent_at
+        event = AttemptEnded(
+            number, attempt.index, attempt.server.name, outcome, elapsed_us, request.answered
+        )
+        self._handle(event)
+        if request.answered and not request.out:
+            self._requests.pop(number, None)
+
+    def _keep_connection(self, attempt: _Attempt) -> None:
+        idle = self._idle[attempt.server.name]
+        if idle.starts == attempt.starts:
+            idle.count += 1
--- a/scale/kinds.py
+++ b/scale/kinds.py
@@ -7,6 +7,8 @@
 from pathlib import Path
 from typing import Any
 
+from scale.callgraph.experiment import CallGraphExperiment
+from scale.callgraph.run import run_call_graphs
 from scale.errors import ExperimentError
 from scale.experiment import Experiment, read_experiment_file, validate_experiment
 from scale.results import ResultWriter
@@ -20,7 +22,9 @@
     run: Callable[[Any, ResultWriter], None]
 
 
-KINDS: Mapping[str, ExperimentKind] = {}
+KINDS: Mapping[str, ExperimentKind] = {
+    "callgraph": ExperimentKind(CallGraphExperiment, run_call_graphs),
+}
 
 
 def load_experiment(path: Path) -> Experiment:
--- /dev/null
+++ b/tests/scale/test_callgraph.py
@@ -0,0 +1,117 @@
+"""Call graphs in virtual time: the same result every time, and what faults do to the calls."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from scale.callgraph.experiment import CallGraphExperiment, Fault, FaultKind, PolicyName
+from scale.callgraph.measure import RootCallRecorder
+from scale.callgraph.run import CallGraphRun, Point, points, run_point
+from scale.callgraph.server import CallResult
+from scale.errors import ExperimentError
+from scale.experiment import validate_experiment
+
+SMALL: dict[str, Any] = {
+    "name": "small",
+    "kind": "callgraph",
+    "seed": 5,
+    "duration_s": 10.0,
+    "warm_up_s": 0.5,
+    "depths": [3],
+    "loads": [0.2],
+    "servers": {"count": 4},
+    "root_callers": 2,
+    "regions": 2,
+    "zones_per_region": 1,
+}
+FAULT = {"begin_s": 3.0, "end_s": 5.0}
+
+
+def run(policy: PolicyName = PolicyName.BALANCER, **changes: Any) -> CallGraphRun:
+    """Run the first point of the small experiment with some keys changed."""
+    experiment = validate_experiment(CallGraphExperiment, {**SMALL, **changes})
+    first = next(points(experiment))
+    return run_point(experiment, Point(first.depth, first.load, first.fault, policy, first.seed))
+
+
+def test_same_seed_gives_the_same_run_and_another_seed_another() -> None:
+    fault = {"kind": "errors", "share": 0.5, **FAULT}
+    assert run(fault=fault).digest == run(fault=fault).digest
+    assert run(fault=fault).digest != run(fault=fault, seed=6).digest
+
+
+@pytest.mark.parametrize("policy", list(PolicyName))
+def test_healthy_graph_serves_each_root_call_with_one_call_at_each_hop(policy: PolicyName) -> None:
+    measured = run(policy)
+    assert measured.during().goodput == 1.0
+    assert measured.calls_per_root_call() == pytest.approx([1.0, 1.0, 1.0], rel=0.02)
+
+
+def test_each_hop_calls_the_next_as_often_as_the_fan_out_says() -> None:
+    assert run(fan_out=2).calls_per_root_call() == pytest.approx([1.0, 2.0, 4.0], rel=0.05)
+
+
+def test_fixed_retries_multiply_from_hop_to_hop_while_all_calls_fail() -> None:
+    changes = {"fault": {"kind": "errors", **FAULT}, "loads": [0.05]}  # 9 times this is no overload
+    retrying = run(PolicyName.FIXED_RETRIES, **changes).calls_per_root_call()
+    assert retrying == pytest.approx([3.0, 9.0, 27.0], rel=0.05)
+    single = run(PolicyName.NO_RETRY, **changes).calls_per_root_call()
+    assert single == pytest.approx([1.0, 1.0, 1.0], rel=0.05)
+
+
+def test_overload_fills_queues_and_servers_turn_calls_away() -> None:
+    measured = run(PolicyName.NO_RETRY, loads=[1.5])
+    assert 0.4 < measured.during().goodput < 0.9
+    assert measured.during().failed > 0.1
+
+
+@pytest.mark.parametrize(
+    ("kind", "least", "most"),
+    [
+        (FaultKind.ERRORS, 0.0, 0.05),
+        (FaultKind.SERVICE_LOST, 0.0, 0.05),
+        (FaultKind.ZONE_LOST, 0.05, 0.95),
+        (FaultKind.REGION_CUT, 0.05, 0.95),
+    ],
+)
+def test_fault_costs_goodput_only_while_it_lasts(kind: FaultKind, least: float, most: float) -> None:
+    measured = run(PolicyName.NO_RETRY, fault={"kind": kind.value, **FAULT})
+    assert measured.before().goodput == 1.0
+    assert least <= measured.during().goodput <= most
+    assert measured.recovery_us() is not None
+    assert measured.after().goodput > 0.9
+
+
+def test_recovery_is_the_first_time_from_which_goodput_is_back() -> None:
+    recorder = RootCallRecorder(deadline_us=1_000)
+    for offered_at in range(0, 4_000_000, 10_000):
+        call = recorder.offer(offered_at)
+        call.ended_at = offered_at + (500 if offered_at >= 2_000_000 else 5_000)
+        call.result = CallResult.SERVED
+    assert recorder.recovery_us(1.0, 1_000_000, 4_000_000) == 1_000_000
+    assert recorder.recovery_us(1.0, 1_000_000, 2_500_000) is None
+
+
+@pytest.mark.parametrize(
+    ("changes", "complaint"),
+    [
+        ({"depths": [17]}, "depths"),
+        ({"policies": ["best"]}, "policies.0"),
+        ({"fault": {"kind": "errors", "begin_s": 1.0, "end_s": 5.0}}, "fault.begin_s"),
+        ({"fault": {"kind": "errors", "begin_s": 5.0, "end_s": 3.0}}, "fault"),
+        ({"servers": {"count": 0}}, "servers.count"),
+    ],
+)
+def test_bad_call_graph_is_rejected_naming_the_key(changes: dict[str, Any], complaint: str) -> None:
+    with pytest.raises(ExperimentError, match=complaint):
+        validate_experiment(CallGraphExperiment, {**SMALL, **changes})
+
+
+def test_sweep_has_a_run_for_each_combination() -> None:
+    changes = {"depths": [1, 2], "loads": [0.1, 0.2], "fault_shares": [0.0, 1.0], "seeds": 2}
+    swept = list(points(validate_experiment(CallGraphExperiment, {**SMALL, **changes})))
+    assert len(set(swept)) == len(swept) == 16
+    assert {point.seed for point in swept} == {5, 6}
+    assert Fault(share=0.0) in {point.fault for point in swept}
