--- a/scale/kinds.py
+++ b/scale/kinds.py
@@ -7,6 +7,8 @@
 from pathlib import Path
 from typing import Any
 
+from scale.callgraph.experiment import CallGraphExperiment
+from scale.callgraph.run import run_call_graphs
 from scale.control.experiment import ControlExperiment
 from scale.control.run import run_control
 from scale.errors import ExperimentError
@@ -22,7 +24,10 @@
     run: Callable[[Any, ResultWriter], None]
 
 
-KINDS: Mapping[str, ExperimentKind] = {"control": ExperimentKind(ControlExperiment, run_control)}
+KINDS: Mapping[str, ExperimentKind] = {
+    "callgraph": ExperimentKind(CallGraphExperiment, run_call_graphs),
+    "control": ExperimentKind(ControlExperiment, run_control),
+}
 
 
 def load_experiment(path: Path) -> Experiment:
