Force drains that cross reloads, late silences and whole lists

Loopback tests on the virtual clock: a reload and a drain in both orders, also with SIGTERM; a watch that falls silent after it has told changes; a whole list that leaves out what drains or is in use; watches that end in place of telling, with the whole list as the next answer. All passed as the program was.

The pause between calls of a service that does not wait is measured on that clock too: on the real one a call held up for 0.1 s by the machine needs no pause, and the test failed.

--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -7,6 +7,7 @@
 import pytest
 from helpers import S
 from loopback import FakeDiscovery, answer, play, until, world
+from warped import play_warped
 
 from topazbank.interface import ServerState
 from topazbank.net.discovery import _IDLE_S, Discovery, RegistryResponse, parse_registry
@@ -239,4 +240,4 @@
             await until(lambda: len(w.discovery.called_after_s) == 4)
             assert min(w.discovery.called_after_s) >= 0.09
 
-    play(scene())
+    play_warped(scene())
--- /dev/null
+++ b/tests/test_registry_crossings.py
@@ -0,0 +1,248 @@
+"""Changes of the registry that cross reloads, drains, silences and requests under way."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+from helpers import S
+from loopback import FakeServer, World, answer, ask, read_answer, request, reset, until, world
+from warped import STEP_S, Service, now_s, pass_s, play_warped, told_within
+
+from topazbank.interface import ServerState
+from topazbank.net import sidecar
+
+TOLD_S = 6.0  # after a watch fell silent, or discovery has a change and can be reached
+RELOADED_S = 4.0  # after SIGHUP, what discovery's new place has counts as told
+RULES = {"ask_within_us": 60 * S}
+
+
+def served(*_: object) -> bytes:
+    return answer(200, b"served")
+
+
+def hung(*_: object) -> None:
+    return None
+
+
+async def gone_within(w: World, limit_s: float, began: float) -> None:
+    """Wait until connections to s-0 are no use any more, which has to be in time."""
+    while "s-0" in w.sidecar._upstream._endpoints:
+        assert now_s() < began + limit_s, f"not told {limit_s} s later"
+        await asyncio.sleep(STEP_S)
+
+
+async def nothing_more_reaches_the_first(w: World) -> None:
+    """All that is asked from now on is served, by the others."""
+    seen = len(w.servers[0].requests)
+    for number in range(20):
+        kind = "pay" if number % 2 else "look"
+        body = b"x" if number % 2 else b""
+        assert (await w.ask(kind=kind, body=body))[2] == b"served"
+        await asyncio.sleep(0.01)
+    assert len(w.servers[0].requests) == seen
+
+
+async def hold_at_first(w: World) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """A request that is out at s-0, which does not answer yet."""
+    first = w.servers[0]
+    first.script = hung
+    for number in range(200):
+        reader, writer = await asyncio.open_connection(*w.sidecar.frontend.address)
+        writer.write(request("pay", body=b"held", budget="500", X_Call_Id=f"held-{number}"))
+        sent = len(w.sent()) + 1
+        await until(lambda sent=sent: len(w.sent()) == sent)  # type: ignore[misc]
+        if first.requests:
+            return reader, writer
+        assert (await read_answer(reader))[0] == 200
+        writer.close()
+    raise AssertionError("no request came to s-0")
+
+
+# -- A reload x a drain
+
+
+@pytest.mark.parametrize("reload_first", [True, False])
+def test_a_drain_is_applied_in_time_where_a_reload_moves_discovery(
+    reload_first: bool, service: Callable[[], Service]
+) -> None:
+    async def scene() -> None:
+        former, latter = service(), service()
+        await latter.start()
+        async with world(hung, served, service=former, rules=RULES) as w:
+            reader, writer = await hold_at_first(w)
+            leaving = w.servers[0].entry(status="leaving")
+            if not reload_first:
+                await former.change(leaving)  # its watch has had no turn to tell of it
+                await latter.change(leaving)
+            w.sidecar.move_discovery(latter.address)
+            began = now_s()
+            if reload_first:
+                await until(lambda: latter.targets)
+                await latter.change(leaving)
+            await told_within(w, RELOADED_S, began)
+            await nothing_more_reaches_the_first(w)
+            w.servers[0].writers[-1].write(answer(200, b"late"))  # what it has, it finishes
+            assert (await read_answer(reader))[2] == b"late"
+            writer.close()
+        latter.stop()
+
+    play_warped(scene())
+
+
+@pytest.mark.parametrize("reload_first", [True, False])
+def test_a_drain_told_after_sigterm_and_a_reload_keeps_late_requests_from_its_server(
+    reload_first: bool, service: Callable[[], Service], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(sidecar, "_ACCEPT_S", 600.0)  # connections are taken for as long as the test needs
+
+    async def scene() -> None:
+        former, latter = service(), service()
+        await latter.start()
+        async with world(hung, served, service=former, rules=RULES) as w:
+            reader, writer = await hold_at_first(w)
+            steps = [lambda: w.sidecar.move_discovery(latter.address), w.stop.set]
+            for step in steps if reload_first else reversed(steps):
+                step()
+                await asyncio.sleep(0.01)
+            assert w.sidecar.frontend.draining
+            await until(lambda: latter.targets)
+            began = now_s()
+            await latter.change(w.servers[0].entry(status="leaving"))
+            await told_within(w, RELOADED_S, began)
+            await nothing_more_reaches_the_first(w)
+            w.servers[0].writers[-1].write(answer(200, b"late"))
+            status, headers, body = await read_answer(reader)
+            assert (status, headers["connection"], body) == (200, "close", b"late")
+            writer.close()
+        latter.stop()
+
+    play_warped(scene())
+
+
+# -- A silence that begins late
+
+
+@pytest.mark.parametrize("missed_after_s", [0.0, 1.0, 2.4, 3.9, 5.0])
+@pytest.mark.parametrize("open_for_s", [0.0, 1.5, 3.1])
+def test_a_change_missed_by_a_watch_that_falls_silent_after_telling_others_is_applied_in_time(
+    open_for_s: float, missed_after_s: float, service: Callable[[], Service]
+) -> None:
+    async def scene() -> None:
+        there = service()
+        async with world(served, served, service=there, rules=RULES) as w:
+            weight = 1.0
+            for _ in range(3):
+                await pass_s(2.0)
+                weight += 1.0
+                await there.change(w.servers[1].entry(weight=weight))
+            calls = len(there.targets)
+            await until(lambda: len(there.targets) > calls)  # the next watch is out
+            await pass_s(open_for_s)
+            there.fail("silent")  # for the calls that are out, and no others
+            await there.come_back()
+            began = now_s()
+            await pass_s(missed_after_s)
+            await there.change(w.servers[0].entry(status="leaving"))
+            await told_within(w, TOLD_S, began)
+            await nothing_more_reaches_the_first(w)
+
+    play_warped(scene())
+
+
+# -- A whole list that leaves out what drains, or what is in use
+
+
+@pytest.mark.parametrize("drained_first", [True, False])
+def test_a_server_left_out_of_a_whole_list_gets_nothing_more_and_finishes_what_it_has(
+    drained_first: bool,
+) -> None:
+    async def scene() -> None:
+        async with world(hung, served) as w:
+            reader, writer = await hold_at_first(w)
+            first, second = w.servers
+            states = w.sidecar._balancer._servers
+            if drained_first:
+                w.discovery.say(42, [first.entry(status="leaving")])
+                await until(lambda: states["s-0"].state is ServerState.DRAINING)
+            w.discovery.say(43, [second.entry()], snapshot=True)
+            await gone_within(w, TOLD_S, now_s())
+            first.script = served  # it still listens, and would answer
+            await nothing_more_reaches_the_first(w)
+            first.writers[-1].write(answer(200, b"late"))
+            assert (await read_answer(reader))[2] == b"late"
+            await until(lambda: not w.sidecar._live)
+            await until(lambda: first.closed == len(first.writers))  # no connection to it is kept
+            writer.close()
+
+    play_warped(scene())
+
+
+def test_a_request_whose_server_is_left_out_of_a_whole_list_and_dies_goes_elsewhere_only_if_safe() -> None:
+    async def scene() -> None:
+        async with world(hung, hung) as w:
+            safe = asyncio.create_task(w.ask(kind="look", budget="500"))
+            unsafe = asyncio.create_task(w.ask(kind="pay", body=b"x", budget="500"))
+            await until(lambda: len(w.sent()) == 2)
+            survivor = FakeServer("s-2", served)
+            await survivor.start()
+            w.discovery.say(42, [survivor.entry()], snapshot=True)
+            await until(lambda: list(w.sidecar._upstream._endpoints) == ["s-2"])
+            for each in w.servers:
+                each.stop()
+            assert (await safe)[::2] == (200, b"served")
+            assert (await unsafe)[0] == 500
+            assert [head["x-call-class"] for _, head, _ in survivor.requests] == ["look"]
+            survivor.stop()
+
+    play_warped(scene())
+
+
+# -- A watch that ends instead of telling x a first answer that is the whole list
+
+
+class EndingService(Service):
+    """Ends the watches that are out as something changes; calls anew get the whole list at once."""
+
+    how = "reset"
+    listed: list[dict[str, Any]]
+
+    async def change(self, entry: dict[str, Any]) -> None:
+        self.version += 1
+        self.listed = [each for each in self.listed if each["name"] != entry["name"]]
+        for writer in list(self._calls):
+            self._calls.discard(writer)
+            if self.how == "reset":
+                reset(writer)
+            elif self.how == "503":
+                writer.write(answer(503, b""))
+            elif self.how == "half an answer":
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\n" + b'{"index":')
+                writer.close()
+            else:
+                writer.close()
+
+    async def _answer(self, target: str) -> bytes:
+        if f"after={self.version}&" in target and "wait_ms=0" not in target:
+            await asyncio.Event().wait()
+        told = {"index": self.version, "snapshot": True, "endpoints": self.listed}
+        return answer(200, json.dumps(told, indent=2).encode())
+
+
+@pytest.mark.parametrize("how", ["reset", "503", "half an answer", "end"])
+def test_a_watch_ends_instead_of_telling_and_the_whole_list_leaves_out_what_drains(how: str) -> None:
+    async def scene() -> None:
+        there = EndingService()
+        there.how = how
+        async with world(served, served, service=there, rules=RULES) as w:
+            there.listed = [each.entry() for each in w.servers]
+            await pass_s(1.0)
+            await there.change(w.servers[0].entry(status="leaving"))
+            await gone_within(w, TOLD_S, now_s())
+            await nothing_more_reaches_the_first(w)
+            assert (await ask(w.sidecar.frontend.address, request(path="/health/ready")))[0] == 200
+
+    play_warped(scene())
