Force deaths behind an accept, requests in single bytes and what is sent after SIGTERM

Loopback tests: a server that dies as its connection has come up, in the middle of a long request and behind the last byte; a request in single bytes across a server's drain, SIGTERM and the limit for bad peers; requests sent before and after SIGTERM on connections in each state. All passed as the program was.

--- /dev/null
+++ b/tests/test_request_crossings.py
@@ -0,0 +1,341 @@
+"""Servers that die as connections come up, requests that come in pieces, and what is sent after SIGTERM."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import Callable
+
+import pytest
+from loopback import (
+    Listening,
+    World,
+    answer,
+    is_closed,
+    play,
+    read_answer,
+    read_message,
+    request,
+    reset,
+    until,
+    world,
+)
+from warped import now_s, pass_s, play_warped
+
+from topazbank.interface import ServerState
+from topazbank.net import upstream
+from topazbank.net.upstream import Address, Connection, is_up
+
+BAD_PEER_S = 3.0  # bad input is answered or its connection closed within this
+_GAP_S = 0.005  # between pieces: the event loop reads each by itself
+
+
+def served(*_: object) -> bytes:
+    return answer(200, b"served")
+
+
+def hung(*_: object) -> None:
+    return None
+
+
+# -- A server dies x the connection that it accepted
+
+
+class DyingServer(Listening):
+    """Accepts connections and resets each, at once or behind the last byte of its request."""
+
+    def __init__(self, at_once: bool) -> None:
+        self.at_once = at_once
+        self.accepted = 0
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.accepted += 1
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+            if not self.at_once:
+                await read_message(reader)
+        reset(writer)
+
+
+def dial_until_reset(monkeypatch: pytest.MonkeyPatch, victim: Address) -> None:
+    """Let each dial to an address come to its end only with the reset of the connection in the kernel."""
+    connect = upstream.connect
+
+    async def delayed(address: Address, *given: object) -> Connection:
+        connection = await connect(address, *given)  # type: ignore[arg-type]
+        if address == victim:
+            assert connection._transport is not None
+            connection._transport.pause_reading()  # the loop may not hear of it first
+            await until(lambda: not is_up(connection.sock))
+        return connection
+
+    monkeypatch.setattr(upstream, "connect", delayed)
+
+
+async def ask_until_met(w: World, kind: str, body: bytes, is_met: Callable[[], object]) -> tuple[int, bytes]:
+    """Ask until a request has met the server that dies; give its answer."""
+    for _ in range(200):
+        status, _, answered = await w.ask(kind=kind, body=body, budget="500")
+        if is_met():
+            return status, answered
+    raise AssertionError("no request came to the server that dies")
+
+
+@pytest.mark.parametrize("kind", ["look", "pay", "amend"])
+@pytest.mark.parametrize("at_once", [True, False])
+def test_a_server_dies_behind_an_accept_and_only_what_may_not_run_twice_and_was_written_fails(
+    at_once: bool, kind: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def scene() -> None:
+        victim = DyingServer(at_once)
+        await victim.start()
+        if at_once:
+            dial_until_reset(monkeypatch, victim.address)
+        async with world(served, served) as w:
+            w.sidecar._upstream.update("s-0", victim.address, None, ServerState.READY)
+            body = b"" if kind == "look" else b"whole"
+            got = await ask_until_met(w, kind, body, lambda: victim.accepted)
+            sent = w.servers[1].requests
+            last = f"{w._asked:016x}"
+            copies = [each for _, head, each in sent if head["x-call-id"] == last]
+            if kind == "pay" and not at_once:
+                assert got == (500, b"") and copies == [] and victim.accepted == 1
+            else:
+                assert got == (200, b"served") and copies == [body]
+        victim.stop()
+
+    play(scene())
+
+
+@pytest.mark.parametrize("kind", ["pay", "amend"])
+def test_a_server_dies_as_a_long_request_is_half_written_and_another_serves_it(
+    kind: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    new_socket = upstream.new_socket
+
+    def small(address: Address) -> socket.socket:
+        made = new_socket(address)
+        made.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        return made
+
+    monkeypatch.setattr(upstream, "new_socket", small)
+
+    async def scene() -> None:
+        with socket.socket() as unread:
+            unread.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
+            unread.bind(("127.0.0.1", 0))
+            unread.listen()
+            unread.setblocking(False)
+            met: list[int] = []
+
+            async def accept_and_die() -> None:
+                accepted, _ = await asyncio.get_running_loop().sock_accept(unread)
+                with accepted:  # closed with bytes unread, which is a reset
+                    accepted.setblocking(False)
+                    met.append(len(await asyncio.get_running_loop().sock_recv(accepted, 1024)))
+
+            dying = asyncio.create_task(accept_and_die())
+            async with world(served, served) as w:
+                w.sidecar._upstream.update("s-0", unread.getsockname()[:2], None, ServerState.READY)
+                status, body = await ask_until_met(w, kind, bytes(60_000), lambda: met)
+                assert (status, body) == (200, b"served") and met == [1024]
+                last = f"{w._asked:016x}"
+                sent = [each for _, head, each in w.sent() if head["x-call-id"] == last]
+                assert sent == [bytes(60_000)]
+            await dying
+
+    play(scene())
+
+
+# -- A request in single bytes x a drain, x the limit for bad peers
+
+
+async def send_bytes(writer: asyncio.StreamWriter, data: bytes) -> None:
+    """Send byte by byte; the event loop reads each by itself."""
+    for index in range(len(data)):
+        writer.write(data[index : index + 1])
+        await asyncio.sleep(_GAP_S)
+
+
+def in_pieces(ident: str) -> bytes:
+    return request("pay", body=b"in single bytes", budget="500", X_Call_Id=ident)
+
+
+@pytest.mark.parametrize("used", [False, True], ids=["new connection", "used connection"])
+@pytest.mark.parametrize("cut", [1, 40, -10, -1], ids=["first byte", "head", "body", "last byte"])
+def test_a_request_in_single_bytes_crosses_the_drain_of_a_server_and_goes_whole_to_another(
+    cut: int, used: bool
+) -> None:
+    async def scene() -> None:
+        async with world(served, served) as w:
+            reader, writer = await asyncio.open_connection(*w.sidecar.frontend.address)
+            if used:
+                writer.write(request())
+                assert (await read_answer(reader))[0] == 200
+            before = len(w.servers[0].requests)
+            drained = w.sidecar._upstream._endpoints["s-0"]
+            for number in range(4):
+                data = in_pieces(f"{number}")
+                await send_bytes(writer, data[:cut])
+                if number == 0:
+                    w.discovery.say(42, [w.servers[0].entry(status="leaving")])
+                    await until(lambda: drained.state is ServerState.DRAINING)
+                await send_bytes(writer, data[cut:])
+                status, headers, body = await read_answer(reader)
+                assert (status, body) == (200, b"served") and "connection" not in headers
+            assert len(w.servers[0].requests) == before
+            assert [each for *_, each in w.servers[1].requests[-4:]] == [b"in single bytes"] * 4
+            writer.close()
+
+    play_warped(scene())
+
+
+@pytest.mark.parametrize("used", [False, True], ids=["new connection", "used connection"])
+@pytest.mark.parametrize("cut", [1, 40, -10, -1], ids=["first byte", "head", "body", "last byte"])
+def test_a_request_in_single_bytes_crosses_sigterm_and_gets_its_answer(cut: int, used: bool) -> None:
+    async def scene() -> None:
+        async with world(served) as w:
+            reader, writer = await asyncio.open_connection(*w.sidecar.frontend.address)
+            if used:
+                writer.write(request())
+                assert (await read_answer(reader))[0] == 200
+            data = in_pieces("begun")
+            await send_bytes(writer, data[:cut])
+            w.stop.set()
+            await until(lambda: w.sidecar.frontend.draining)
+            await send_bytes(writer, data[cut:])
+            status, headers, body = await read_answer(reader)
+            assert (status, headers["connection"], body) == (200, "close", b"served")
+            assert [each for *_, each in w.servers[0].requests[used:]] == [b"in single bytes"]
+            writer.close()
+
+    play_warped(scene())
+
+
+@pytest.mark.parametrize("used", [False, True], ids=["new connection", "used connection"])
+@pytest.mark.parametrize("whole_head", [False, True])
+def test_a_request_that_comes_too_slowly_in_single_bytes_is_turned_away_in_time(
+    whole_head: bool, used: bool
+) -> None:
+    async def scene() -> None:
+        async with world(served) as w:
+            reader, writer = await asyncio.open_connection(*w.sidecar.frontend.address)
+            if used:
+                writer.write(request())
+                assert (await read_answer(reader))[0] == 200
+            data = in_pieces("slow")
+            head = data.index(b"\r\n\r\n") + 4 if whole_head else 1
+            began = now_s()
+            writer.write(data[:head])
+
+            async def trickle() -> None:
+                for byte in data[head:]:
+                    await asyncio.sleep(0.25)
+                    writer.write(bytes([byte]))
+
+            slow = asyncio.create_task(trickle())
+            assert (await read_answer(reader))[0] == 408
+            assert now_s() - began < BAD_PEER_S
+            assert await is_closed(reader)
+            slow.cancel()
+            assert len(w.sent()) == used
+            writer.close()
+
+    play_warped(scene())
+
+
+# -- SIGTERM x what clients go on sending
+
+
+async def rested(w: World) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """A connection that has carried a request and is at rest."""
+    reader, writer = await asyncio.open_connection(*w.sidecar.frontend.address)
+    writer.write(request(X_Call_Id="earlier"))
+    assert (await read_answer(reader))[0] == 200
+    return reader, writer
+
+
+async def opened(w: World) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """A connection that has carried nothing yet."""
+    before = len(w.sidecar.frontend.connections)
+    streams = await asyncio.open_connection(*w.sidecar.frontend.address)
+    await until(lambda: len(w.sidecar.frontend.connections) > before)
+    return streams
+
+
+async def begun(w: World) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """A connection on which a part of a request has come."""
+    reader, writer = await opened(w)
+    writer.write(CROSSING[:30])
+    await until(lambda: any(each.has_begun() for each in w.sidecar.frontend.connections))
+    return reader, writer
+
+
+CROSSING = request("pay", body=b"crossing", budget="500", X_Call_Id="crossing")
+STATES = {"at rest": rested, "just opened": opened, "half a request": begun}
+
+
+@pytest.mark.parametrize("how", STATES)
+def test_a_request_in_the_kernel_before_sigterm_is_noticed_gets_its_answer(how: str) -> None:
+    async def scene() -> None:
+        async with world(served) as w:
+            reader, writer = await STATES[how](w)
+            data = CROSSING[30:] if how == "half a request" else CROSSING
+            writer.write(data)  # it is unread as the drain begins: the loop has had no turn
+            w.sidecar.frontend.drain()
+            status, headers, body = await read_answer(reader)
+            assert (status, headers["connection"], body) == (200, "close", b"served")
+            assert await is_closed(reader)
+            writer.close()
+
+    play_warped(scene())
+
+
+@pytest.mark.parametrize("after_s", [0.0, 0.01, 0.3, 0.49, 0.51, 0.6, 1.2])
+@pytest.mark.parametrize("how", STATES)
+def test_a_request_sent_after_sigterm_gets_an_answer_or_a_close_and_then_reaches_no_server(
+    how: str, after_s: float
+) -> None:
+    async def scene() -> None:
+        async with world(served) as w:
+            reader, writer = await STATES[how](w)
+            w.stop.set()
+            await until(lambda: w.sidecar.frontend.draining)
+            await pass_s(after_s)
+            writer.write(CROSSING[30:] if how == "half a request" else CROSSING)
+            try:
+                status, headers, body = await read_answer(reader)
+            except (asyncio.IncompleteReadError, ConnectionError):
+                assert "crossing" not in [head["x-call-id"] for _, head, _ in w.sent()]
+                assert how != "half a request"
+                assert how == "at rest" or after_s > 0.5
+            else:
+                assert (status, headers["connection"], body) == (200, "close", b"served")
+            await until(lambda: w.sidecar.frontend.is_empty())
+            writer.close()
+
+    play_warped(scene())
+
+
+@pytest.mark.parametrize("in_one_write", [True, False])
+def test_a_request_sent_behind_the_last_answer_of_a_drain_reaches_no_server(in_one_write: bool) -> None:
+    async def scene() -> None:
+        async with world(hung) as w:
+            reader, writer = await opened(w)
+            first = request("pay", body=b"first", budget="500", X_Call_Id="first")
+            writer.write(first + CROSSING if in_one_write else first)
+            await until(w.sent)
+            w.stop.set()
+            await until(lambda: w.sidecar.frontend.draining)
+            w.servers[0].script = served
+            w.servers[0].writers[0].write(served())
+            if not in_one_write:
+                writer.write(CROSSING)
+            status, headers, body = await read_answer(reader)
+            assert (status, headers["connection"], body) == (200, "close", b"served")
+            assert await is_closed(reader)
+            await until(lambda: w.sidecar.frontend.is_empty())
+            assert [head["x-call-id"] for _, head, _ in w.sent()] == ["first"]
+            writer.close()
+
+    play_warped(scene())
