Add experiments on the latency that one real sidecar adds

Kind 'latency': a client calls the same servers through one real sidecar and direct in turn, at fixed times, and writes the overhead of both (latency without the server's own time), their difference by quantiles and by pairs, CPU a call, memory, and what it met itself: its event loop's lag and the machine's load. A traced point wraps the unchanged program, times each callback of its event loop, each collection and each answer of the registry, and splits every call's overhead by them.

--- a/scale/kinds.py
+++ b/scale/kinds.py
@@ -13,6 +13,8 @@
 from scale.control.run import run_control
 from scale.errors import ExperimentError
 from scale.experiment import Experiment, read_experiment_file, validate_experiment
+from scale.latency.experiment import LatencyExperiment
+from scale.latency.run import run_latency
 from scale.results import ResultWriter
 
 
@@ -27,6 +29,7 @@
 KINDS: Mapping[str, ExperimentKind] = {
     "callgraph": ExperimentKind(CallGraphExperiment, run_call_graphs),
     "control": ExperimentKind(ControlExperiment, run_control),
+    "latency": ExperimentKind(LatencyExperiment, run_latency),
 }
 
 
--- /dev/null
+++ b/scale/latency/analysis.py
@@ -0,0 +1,132 @@
+"""Figures from the calls of one point: what was added, and where the time of the slowest calls went."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+import numpy as np
+
+from scale.latency.tracing import Times, Trace
+from scale.load import CallResult, LatencyHistogram
+from scale.standins.server import ServedBody
+
+PERCENTS = (50.0, 99.0, 99.9)
+SLOWEST_PERCENT = 99.0  # the calls beyond it are the slowest 1 in 100
+
+
+@dataclass(frozen=True, slots=True)
+class ServedCall:
+    """A call that a server answered."""
+
+    result: CallResult
+    body: ServedBody
+
+    @property
+    def overhead_us(self) -> float:
+        """The latency without the time that the server held the call."""
+        return self.result.latency_us - self.body.held_us
+
+    @property
+    def is_on_new_connection(self) -> bool:
+        """Whether it was the first request that its server got over its connection."""
+        return self.body.connection_call == 1
+
+
+@dataclass(frozen=True, slots=True)
+class Pair:
+    """A call through the sidecar and the direct call next to it."""
+
+    through_sidecar: ServedCall
+    direct: ServedCall
+
+    @property
+    def added_us(self) -> float:
+        """The difference of the two overheads; it may be negative."""
+        return self.through_sidecar.overhead_us - self.direct.overhead_us
+
+
+def served(result: CallResult) -> ServedCall | None:
+    """The call with what its server said; None if it was not served."""
+    return ServedCall(result, ServedBody.decode(result.body)) if result.status == 200 else None
+
+
+def pair_up(results: Sequence[CallResult]) -> list[Pair]:
+    """Each call through the sidecar with the direct call behind it, where both were served."""
+    pairs = []
+    for through_sidecar, direct in zip(results[::2], results[1::2], strict=False):
+        both = served(through_sidecar), served(direct)
+        if both[0] is not None and both[1] is not None:
+            pairs.append(Pair(both[0], both[1]))
+    return pairs
+
+
+def quantiles_us(values_us: Sequence[float] | Times) -> dict[float, float]:
+    """The quantiles that are reported, in microseconds; none of no values."""
+    if not len(values_us):
+        return {}
+    return {percent: float(np.percentile(values_us, percent)) for percent in PERCENTS}
+
+
+def histogram_quantiles_us(calls: Sequence[ServedCall]) -> dict[float, float]:
+    """The quantiles of the overheads of calls."""
+    histogram = LatencyHistogram([call.overhead_us for call in calls])
+    return {percent: histogram.quantile(percent) for percent in PERCENTS}
+
+
+@dataclass(frozen=True, slots=True)
+class Sources:
+    """Where each call's overhead went, in microseconds; the parts sum up to the overhead.
+
+    Time without the CPU inside a callback is `preempted`; collections and registry answers are CPU time.
+    """
+
+    own_work: Times  # callbacks of the event loop, as long as those of a typical call
+    other_work: Times  # callbacks beyond that: other calls and timers that this one waited for
+    collections: Times
+    registry: Times
+    preempted: Times
+    outside: Times  # the kernel, the network, the client, and waking the sidecar up
+
+    def parts(self) -> dict[str, Times]:
+        """The sources by name."""
+        return {
+            "own work": self.own_work,
+            "other work in the event loop": self.other_work,
+            "garbage collection": self.collections,
+            "registry answers": self.registry,
+            "preempted": self.preempted,
+            "outside the sidecar": self.outside,
+        }
+
+
+def tell_sources_apart(calls: Sequence[ServedCall], trace: Trace) -> Sources:
+    """Split each call's overhead by what the sidecar's event loop did before and after its server held it."""
+    sent = np.array([call.result.sent_at for call in calls])
+    begun = np.array([call.body.began_at for call in calls])
+    answered = begun + np.array([call.body.held_us for call in calls]) / 1e6
+    ended = np.array([call.result.ended_at for call in calls])
+    new = np.array([call.is_on_new_connection for call in calls], dtype=bool)
+
+    def in_windows(measure: str, name: str) -> Times:
+        between = getattr(getattr(trace, name), measure)
+        both: Times = (between(sent, begun) + between(answered, ended)) * 1e6
+        return both
+
+    busy = in_windows("wall_s", "callbacks")
+    preempted = np.maximum(busy - in_windows("cpu_s", "callbacks"), 0.0)
+    collections = in_windows("cpu_s", "collections")
+    registry = np.maximum(in_windows("cpu_s", "registry"), 0.0)
+    work = busy - preempted - collections - registry
+    own = np.minimum(work, _typical_work(work, new))
+    overhead = np.array([call.overhead_us for call in calls])
+    return Sources(own, work - own, collections, registry, preempted, overhead - busy)
+
+
+def _typical_work(work: Times, new: np.ndarray[tuple[int], np.dtype[np.bool_]]) -> Times:
+    """The median work of calls on a kept connection and on a new one, for each call."""
+    typical = np.zeros_like(work)
+    for group in (new, ~new):
+        if group.any():
+            typical[group] = np.median(work[group])
+    return typical
--- /dev/null
+++ b/scale/latency/servers.py
@@ -0,0 +1,74 @@
+"""Server stand-ins in a process of their own, so that neither the client nor the sidecar waits for them.
+
+Run as `python -m scale.latency.servers`; it prints its addresses and then takes commands.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+from typing import Annotated, Literal
+
+import typer
+
+from scale.commands import Message, serve_commands
+from scale.standins.server import ServerStandin, exponential_service_times
+
+
+class GetServerCounts(Message):
+    """Ask what all servers together have seen."""
+
+    command: Literal["counts"] = "counts"
+
+
+class ServerCounts(Message):
+    """The sums of the servers' counters, as in `ServerCounters`."""
+
+    connections: int
+    requests: int
+    served: int
+    abandoned: int
+    overlapping: int
+    without_id: int
+
+
+def server_name(index: int) -> str:
+    """The name of a server, by its place among the addresses."""
+    return f"s-{index:04d}"
+
+
+def count(servers: list[ServerStandin]) -> ServerCounts:
+    """Sum the servers' counters."""
+    sums = {
+        name: sum(getattr(server.counters, name) for server in servers) for name in ServerCounts.model_fields
+    }
+    return ServerCounts(**sums)
+
+
+async def serve(servers: int, service_mean_s: float, seed: int) -> None:
+    """Serve until the command connection ends."""
+    service_time_s = exponential_service_times(service_mean_s, seed)
+    standins = [ServerStandin(server_name(index), service_time_s) for index in range(servers)]
+    for each in standins:
+        await each.start()
+    gc.freeze()
+    gc.disable()  # the process lives for a point of an experiment: its collections are not what is measured
+
+    def handle(line: bytes) -> Message:
+        GetServerCounts.model_validate_json(line)
+        return count(standins)
+
+    await serve_commands(handle, [each.address for each in standins])
+
+
+def main(
+    servers: Annotated[int, typer.Option(help="Servers, each at a port of its own.")],
+    service_mean_ms: Annotated[float, typer.Option(help="Mean service time; exponentially distributed.")],
+    seed: Annotated[int, typer.Option(help="Seed of the service times.")] = 0,
+) -> None:
+    """Run server stand-ins on loopback."""
+    asyncio.run(serve(servers, service_mean_ms / 1000, seed))
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- /dev/null
+++ b/scale/latency/traced_sidecar.py
@@ -0,0 +1,57 @@
+"""Runs the sidecar's own program with its event loop timed, and writes the trace at its end.
+
+Run as `python -m scale.latency.traced_sidecar`, with RELAY_CONFIG as for `python -m topazbank`.  The program
+itself is not changed: what is timed is wrapped from outside.
+"""
+
+from __future__ import annotations
+
+import gc
+import sys
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+from scale.latency.experiment import Collector
+from scale.latency.tracing import Tracer
+from topazbank import __main__ as program
+from topazbank.net.discovery import Discovery
+from topazbank.net.sidecar import Sidecar
+
+_NEVER = (0, 1, 1)  # the first threshold 0 turns collection off
+
+
+def set_collector(collector: Collector) -> None:
+    """Replace the thresholds that the program is going to set."""
+    if collector is Collector.DEFAULT:
+        program._COLLECTED = gc.get_threshold()
+    elif collector is Collector.OFF:
+        program._COLLECTED = _NEVER
+
+
+def trace_registry(tracer: Tracer) -> None:
+    """Time the reading and the applying of the registry's answers."""
+    reader, sidecar = vars(Discovery), vars(Sidecar)
+    read = tracer.registry.timed(reader["_read"].__func__)
+    apply = tracer.registry.timed(sidecar["_list"])
+    type.__setattr__(Discovery, "_read", staticmethod(read))
+    type.__setattr__(Sidecar, "_list", apply)
+
+
+def main(
+    trace: Annotated[Path, typer.Option(help="File that the trace is written to.")],
+    collector: Annotated[Collector, typer.Option(help="How garbage collection is set.")] = Collector.PROGRAM,
+) -> None:
+    """Run one sidecar until SIGTERM."""
+    tracer = Tracer()
+    tracer.trace_event_loop()
+    trace_registry(tracer)
+    set_collector(collector)
+    exit_code = program.main()
+    tracer.write(trace)
+    sys.exit(exit_code)
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- /dev/null
+++ b/scale/latency/tracing.py
@@ -0,0 +1,126 @@
+"""Times, from inside a sidecar's process, what may hold its event loop up; and reads such a trace.
+
+All times are seconds on the machine's monotonic clock, so that they can be compared with the client's.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import functools
+import gc
+import json
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import numpy as np
+import numpy.typing as npt
+
+Times = npt.NDArray[np.float64]
+Span = tuple[float, float, float]  # began, ended, CPU seconds of the thread
+
+
+class SpanLog:
+    """Spans of one kind, in the order in which they ended."""
+
+    def __init__(self) -> None:
+        self.spans: list[Span] = []
+
+    def timed(self, function: Callable[..., Any]) -> Callable[..., Any]:
+        """The same function, with each of its calls noted."""
+
+        @functools.wraps(function)
+        def call(*arguments: Any, **named: Any) -> Any:
+            began, cpu_began = time.monotonic(), time.thread_time()
+            try:
+                return function(*arguments, **named)
+            finally:
+                self.spans.append((began, time.monotonic(), time.thread_time() - cpu_began))
+
+        return call
+
+
+class CollectionLog(SpanLog):
+    """Garbage collections."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._began = (0.0, 0.0)
+
+    def install(self) -> None:
+        """Note every collection from now on."""
+        gc.callbacks.append(self._note)
+
+    def _note(self, phase: str, info: dict[str, int]) -> None:
+        if phase == "start":
+            self._began = (time.monotonic(), time.thread_time())
+        else:
+            began, cpu_began = self._began
+            self.spans.append((began, time.monotonic(), time.thread_time() - cpu_began))
+
+
+class Tracer:
+    """All that is timed in a sidecar's process."""
+
+    def __init__(self) -> None:
+        self.callbacks = SpanLog()  # of the event loop: what runs while all else waits
+        self.collections = CollectionLog()
+        self.registry = SpanLog()  # reading the registry's answers and applying them
+
+    def trace_event_loop(self) -> None:
+        """Time each callback of event loops, and each collection."""
+        handle: Any = asyncio.Handle
+        handle._run = self.callbacks.timed(handle._run)
+        self.collections.install()
+
+    def write(self, path: Path) -> None:
+        """Write the trace as JSON."""
+        spans = {"callbacks": self.callbacks, "collections": self.collections, "registry": self.registry}
+        path.write_text(json.dumps({name: log.spans for name, log in spans.items()}), encoding="utf-8")
+
+
+class BusyTime:
+    """How much of any interval is covered by spans that do not overlap."""
+
+    def __init__(self, spans: list[Span]) -> None:
+        ordered = np.array(sorted(spans), dtype=np.float64).reshape(-1, 3)
+        self._edges = ordered[:, :2].ravel()
+        self._wall = self._cumulative(ordered[:, 1] - ordered[:, 0])
+        self._cpu = self._cumulative(ordered[:, 2])
+
+    @staticmethod
+    def _cumulative(lengths: Times) -> Times:
+        """The sum up to each edge: a span's length is added between its beginning and its end."""
+        after = np.cumsum(lengths)
+        return np.column_stack((after - lengths, after)).ravel()
+
+    def wall_s(self, starts: Times, ends: Times) -> Times:
+        """Seconds covered in each interval."""
+        return self._between(self._wall, starts, ends)
+
+    def cpu_s(self, starts: Times, ends: Times) -> Times:
+        """CPU seconds spent in each interval, taken as even over each span."""
+        return self._between(self._cpu, starts, ends)
+
+    def _between(self, cumulative: Times, starts: Times, ends: Times) -> Times:
+        if not self._edges.size:
+            return np.zeros_like(starts)
+        until_end: Times = np.interp(ends, self._edges, cumulative)
+        return until_end - np.interp(starts, self._edges, cumulative)
+
+
+class Trace:
+    """A trace as read back."""
+
+    def __init__(self, given: dict[str, list[Span]]) -> None:
+        self.callbacks = BusyTime(given["callbacks"])
+        self.collections = BusyTime(given["collections"])
+        self.registry = BusyTime(given["registry"])
+        self.collection_count = len(given["collections"])
+        self.registry_count = len(given["registry"])  # two for each answer: it is read, then applied
+
+    @staticmethod
+    def read(path: Path) -> Trace:
+        """Read what `Tracer.write` wrote; raise OSError or ValueError where that cannot be done."""
+        return Trace(json.loads(path.read_text(encoding="utf-8")))
--- a/scale/load.py
+++ b/scale/load.py
@@ -33,6 +33,7 @@
     ended_at: float
     status: int
     body: bytes
+    connected: bool = False  # whether it opened a connection of its own
 
     @property
     def latency_us(self) -> float:
@@ -77,21 +78,24 @@
     async def call(self, request: bytes, arrived_at: float, limit_s: float) -> CallResult:
         """Send a request; one that a closing connection left unread goes once more, on a new connection."""
         sent_at = time.monotonic()
+        connection = self._take_idle()
+        connected = connection is None
         try:
             async with asyncio.timeout(limit_s):
-                answer = await self._exchange(request)
+                if connection is not None:
+                    try:
+                        answer = await self._ask(connection, request)
+                    except ConnectionError:  # it was closed between requests: once more on a new one
+                        connected, answer = True, await self._ask_anew(request)
+                else:
+                    answer = await self._ask_anew(request)
         except (OSError, TimeoutError):
-            return CallResult(arrived_at, sent_at, time.monotonic(), NO_ANSWER, b"")
-        return CallResult(arrived_at, sent_at, time.monotonic(), answer.status, answer.body)
+            return CallResult(arrived_at, sent_at, time.monotonic(), NO_ANSWER, b"", connected)
+        return CallResult(arrived_at, sent_at, time.monotonic(), answer.status, answer.body, connected)
 
-    async def _exchange(self, request: bytes) -> Message:
-        connection = self._take_idle()
-        if connection is not None:
-            try:
-                return await self._ask(connection, request)
-            except ConnectionError:
-                pass  # it was closed between requests: once more on a new one
-        _, connection = await asyncio.get_running_loop().create_connection(_ClientConnection, *self._address)
+    async def _ask_anew(self, request: bytes) -> Message:
+        loop = asyncio.get_running_loop()
+        _, connection = await loop.create_connection(_ClientConnection, *self._address)
         return await self._ask(connection, request)
 
     def _take_idle(self) -> _ClientConnection | None:
--- a/scale/standins/server.py
+++ b/scale/standins/server.py
@@ -13,7 +13,7 @@
 import struct
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import asdict, dataclass
 from enum import Enum, auto
 
 import numpy as np
@@ -60,18 +60,18 @@
 
     server: str
     connection_call: int  # 1 for the first request of its connection
-    held_us: float  # from the request's last byte to the answer
+    began_at: float  # when the request's last byte had come, in seconds on the machine's monotonic clock
+    held_us: float  # from then to the answer
 
     def encode(self) -> bytes:
         """The body's bytes, as JSON."""
-        fields = {"server": self.server, "connection_call": self.connection_call, "held_us": self.held_us}
-        return json.dumps(fields).encode()
+        return json.dumps(asdict(self)).encode()
 
     @staticmethod
     def decode(body: bytes) -> ServedBody:
-        """Read such a body; raise ValueError, KeyError or TypeError on any other."""
+        """Read such a body; raise ValueError or TypeError on any other."""
         given = json.loads(body)
-        return ServedBody(given["server"], given["connection_call"], given["held_us"])
+        return ServedBody(**given)
 
 
 def exponential_service_times(mean_s: float, seed: int) -> Callable[[], float]:
@@ -193,20 +193,21 @@
             counters.hung += 1
             self._is_hanging = True
         else:
-            began = time.perf_counter()
+            began_at = time.monotonic()
             service_s = self._server.service_time_s()
             loop = asyncio.get_running_loop()
-            self._held = loop.call_later(service_s, self._answer, mode, began)
+            self._held = loop.call_later(service_s, self._answer, mode, began_at)
 
-    def _answer(self, mode: ServerMode, began: float) -> None:
+    def _answer(self, mode: ServerMode, began_at: float) -> None:
         self._held = None
         if mode is ServerMode.ERROR:
             self._server.counters.errors += 1
             self._write(500)
             return
         self._server.counters.served += 1
-        held_us = (time.perf_counter() - began) * 1e6
-        self._write(200, body=ServedBody(self._server.name, self._calls, held_us).encode())
+        held_us = (time.monotonic() - began_at) * 1e6
+        served = ServedBody(self._server.name, self._calls, began_at, held_us)
+        self._write(200, body=served.encode())
 
     def _write(self, status: int, headers: dict[str, str] | None = None, body: bytes = b"") -> None:
         if self._transport is not None:
--- a/tests/scale/test_demo.py
+++ b/tests/scale/test_demo.py
@@ -53,7 +53,7 @@
 
 
 def result(server: str, at: float, status: int = 200) -> CallResult:
-    return CallResult(at, at, at + 0.002, status, ServedBody(server, 1, 1000.0).encode())
+    return CallResult(at, at, at + 0.002, status, ServedBody(server, 1, at, 1000.0).encode())
 
 
 def outcome(**changes: Any) -> DemoOutcome:
--- /dev/null
+++ b/tests/scale/test_latency.py
@@ -0,0 +1,153 @@
+"""Experiments on latency: their points, the figures worked out of calls, and a small run on real sockets."""
+
+from __future__ import annotations
+
+import gc
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Any
+
+import numpy as np
+import pytest
+
+from scale.errors import ExperimentError
+from scale.experiment import validate_experiment
+from scale.kinds import load_experiment, run_experiment
+from scale.latency.analysis import ServedCall, pair_up, served, tell_sources_apart
+from scale.latency.experiment import LatencyExperiment
+from scale.latency.tracing import BusyTime, Trace, Tracer
+from scale.load import NO_ANSWER, CallResult
+from scale.results import Measurement, ResultWriter, read_results
+from scale.standins.server import ServedBody
+
+EXPERIMENTS = Path(__file__).resolve().parents[2] / "scale" / "experiments"
+GIVEN: dict[str, Any] = {
+    "name": "a",
+    "kind": "latency",
+    "seed": 1,
+    "duration_s": 1.0,
+    "calls_per_s": 10.0,
+    "warm_up_s": 0.0,
+    "service_mean_ms": 1.0,
+    "budget_ms": 1.4,
+    "points": [{"servers": 1}],
+}
+
+
+@pytest.mark.parametrize(
+    ("changes", "key"),
+    [
+        ({"calls_per_s": 0.0}, "calls_per_s"),
+        ({"points": []}, "points"),
+        ({"points": [{"servers": 0}]}, "points.0.servers"),
+        ({"points": [{"servers": 1}, {"servers": 1, "collector": "off"}]}, "points.1"),
+        ({"points": [{"servers": 1, "speed": 3}]}, "points.0.speed"),
+    ],
+)
+def test_bad_point_is_rejected_naming_the_key(changes: dict[str, Any], key: str) -> None:
+    with pytest.raises(ExperimentError, match=f"^{key}: "):
+        validate_experiment(LatencyExperiment, GIVEN | changes)
+
+
+@pytest.mark.parametrize("path", sorted(EXPERIMENTS.glob("latency-*.toml")), ids=lambda path: path.stem)
+def test_experiment_files_are_valid(path: Path) -> None:
+    assert load_experiment(path).name == path.stem
+
+
+def call(
+    sent_at: float, held_us: float, latency_us: float, connection_call: int = 2, status: int = 200
+) -> CallResult:
+    """A call that its server began 1 ms after it was sent."""
+    body = ServedBody("s-0", connection_call, sent_at + 0.001, held_us).encode()
+    return CallResult(sent_at, sent_at, sent_at + latency_us / 1e6, status, body)
+
+
+def served_calls(*results: CallResult) -> Sequence[ServedCall]:
+    return [each for each in map(served, results) if each is not None]
+
+
+def test_pairs_hold_calls_that_were_both_served() -> None:
+    results = [call(0, 100, 900), call(0, 300, 500), call(1, 0, 9, status=NO_ANSWER), call(1, 0, 5)]
+    assert [pair.added_us for pair in pair_up(results)] == [pytest.approx(600.0)]
+    assert pair_up([]) == pair_up(results[:1]) == []
+
+
+def test_busy_time_counts_the_covered_part_of_an_interval() -> None:
+    busy = BusyTime([(3.0, 4.0, 0.5), (1.0, 2.0, 1.0)])
+    starts, ends = np.array([0.0, 1.5, 2.0, 3.5]), np.array([10.0, 3.5, 3.0, 9.0])
+    assert busy.wall_s(starts, ends) == pytest.approx([2.0, 1.0, 0.0, 0.5])
+    assert busy.cpu_s(starts, ends) == pytest.approx([1.5, 0.75, 0.0, 0.25])
+    assert BusyTime([]).wall_s(starts, ends) == pytest.approx(np.zeros(4))
+
+
+def test_sources_of_the_overhead_are_told_apart() -> None:
+    """Calls of 5 ms, held by their servers for 2 ms from 1 ms on: the sidecar has 1 ms before, 2 ms after."""
+    calls = served_calls(*(call(at, 2_000, 5_000) for at in (0.0, 10.0, 20.0, 30.0, 40.0)))
+    own = [(at + 0.0002, at + 0.0005, 0.0003) for at in (0.0, 10.0, 20.0, 30.0, 40.0)]
+    trace = Trace(
+        {
+            "callbacks": [
+                *own,
+                (10.003, 10.0045, 0.0015),  # a collection of 1 ms and 0.5 ms of work for others
+                (20.003, 20.004, 0.0004),  # 0.6 ms without the CPU, 0.4 ms of work for others
+                (30.0035, 30.0045, 0.001),  # reads an answer of the registry
+                (40.0015, 40.0025, 0.001),  # while the server held the call: nobody waited for it
+            ],
+            "collections": [(10.003, 10.004, 0.001)],
+            "registry": [(30.0035, 30.0045, 0.001)],
+        }
+    )
+    parts = tell_sources_apart(calls, trace).parts()
+    assert parts["garbage collection"] == pytest.approx([0, 1_000, 0, 0, 0], abs=0.1)
+    assert parts["registry answers"] == pytest.approx([0, 0, 0, 1_000, 0], abs=0.1)
+    assert parts["preempted"] == pytest.approx([0, 0, 600, 0, 0], abs=0.1)
+    assert parts["own work"] == pytest.approx([300] * 5, abs=0.1)
+    assert parts["other work in the event loop"] == pytest.approx([0, 500, 400, 0, 0], abs=0.1)
+    assert sum(parts.values()) == pytest.approx([3_000] * 5, abs=0.1)
+
+
+def test_work_on_a_new_connection_is_compared_with_its_like() -> None:
+    calls = served_calls(call(0, 2_000, 5_000, connection_call=1), call(10, 2_000, 5_000))
+    trace = Trace({"callbacks": [(0.0, 0.0008, 0.0008)], "collections": [], "registry": []})
+    parts = tell_sources_apart(calls, trace).parts()
+    assert parts["own work"] == pytest.approx([800, 0], abs=0.1)
+    assert parts["other work in the event loop"] == pytest.approx([0, 0], abs=0.1)
+
+
+def test_collections_and_timed_calls_are_traced(tmp_path: Path) -> None:
+    tracer = Tracer()
+    tracer.collections.install()
+    try:
+        gc.collect()
+    finally:
+        gc.callbacks.remove(tracer.collections._note)
+    assert tracer.registry.timed(lambda value: value + 1)(1) == 2
+    tracer.write(tmp_path / "trace.json")
+    trace = Trace.read(tmp_path / "trace.json")
+    assert trace.collection_count >= 1 and trace.registry_count == 1
+    assert all(ended >= began for began, ended, _ in tracer.collections.spans)
+
+
+def figures(measurements: Sequence[Measurement], servers: int) -> dict[str, float]:
+    return {each.metric: each.value for each in measurements if each.labels["servers"] == servers}
+
+
+def test_small_experiment_counts_its_calls(tmp_path: Path) -> None:
+    experiment = load_experiment(EXPERIMENTS / "latency-small.toml")
+    with ResultWriter(tmp_path / "results.jsonl", experiment, commit="abc") as writer:
+        run_experiment(experiment, writer)
+    measurements = read_results([tmp_path / "results.jsonl"])
+    for servers in (4, 40):
+        at_point = figures(measurements, servers)
+        assert at_point["calls"] > 0 and at_point["direct calls"] in (
+            at_point["calls"],
+            at_point["calls"] - 1,
+        )
+        assert at_point["calls not served"] == at_point["direct calls not served"] == 0
+        assert at_point["requests"] >= at_point["calls"] + at_point["direct calls"]
+        assert at_point["overlapping requests"] == 0
+        assert at_point["overhead p50"] <= at_point["overhead p99"] <= at_point["overhead p99.9"]
+    traced = figures(measurements, 40)
+    assert traced["garbage collections"] == 0 and traced["registry calls timed"] > 0
+    sources = [each for each in measurements if each.metric == "mean time of all calls"]
+    assert len({each.labels["source"] for each in sources}) == len(sources) == 6
