Add the suite command and 'make scale' for the whole set of experiments

One command runs all experiments but the small ones, each into a file of its own. The commit is taken once for all: the results of the first change the work tree, and would mark those of the others as dirty (a test failed so when each writer took its own). Measured: tests of the suite pass; the whole set was not timed yet.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 BIN = .venv/bin
 
-.PHONY: setup test lint check demo
+.PHONY: setup test lint check demo scale
 
 setup:
 	sh deploy/build.sh
@@ -17,5 +17,11 @@
 
 check: lint test
 
+RESULTS = docs/capacity/results
+
+# All experiments whose figures the capacity page gives, within 15 minutes.
+scale: setup
+	$(BIN)/python -m scale suite --results $(RESULTS)
+
 demo: setup
 	$(BIN)/python -m scale demo
--- a/scale/cli.py
+++ b/scale/cli.py
@@ -18,6 +18,7 @@
 from scale.report import format_table, write_plots
 from scale.results import ResultWriter, read_results
 from scale.slopes import fit_slopes, format_slopes
+from scale.suite import EXPERIMENTS, LIMIT_S, RESULTS, find_experiments, run_suite
 
 EXIT_FAULT = 1
 EXIT_BAD_INPUT = 2
@@ -46,6 +47,17 @@
         log.info("experiment ended", experiment=experiment.name, results=str(results))
 
 
+@app.command()
+def suite(
+    results: Annotated[Path, typer.Option(help="Folder of the results, one file each.")] = RESULTS,
+    experiments: Annotated[Path, typer.Option(help="Folder of the experiment files.")] = EXPERIMENTS,
+) -> None:
+    """Run the whole set of experiments, without the small ones for tests."""
+    took_s = run_suite(find_experiments(experiments), results)
+    note = log.warning if took_s > LIMIT_S else log.info
+    note("suite ended", took_s=round(took_s, 1), limit_s=LIMIT_S, results=str(results))
+
+
 @app.command()
 def report(
     results: Annotated[list[Path], typer.Argument(help="Results files (JSON lines).")],
--- /dev/null
+++ b/scale/suite.py
@@ -0,0 +1,48 @@
+"""Runs the whole set of experiments whose figures the capacity page gives."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Sequence
+from pathlib import Path
+
+import structlog
+
+from scale.errors import ExperimentError
+from scale.kinds import load_experiment, run_experiment
+from scale.results import ResultWriter, current_commit
+
+EXPERIMENTS = Path(__file__).resolve().parent / "experiments"
+RESULTS = Path(__file__).resolve().parent.parent / "docs" / "capacity" / "results"
+LIMIT_S = 15 * 60.0  # what the whole set may take
+
+_FOR_TESTS = "-small"  # ends the names of experiments that give no figures to keep
+
+log = structlog.get_logger()
+
+
+def find_experiments(folder: Path = EXPERIMENTS) -> list[Path]:
+    """The experiment files of a folder, without those for tests; raise ExperimentError if there are none."""
+    found = sorted(path for path in folder.glob("*.toml") if not path.stem.endswith(_FOR_TESTS))
+    if not found:
+        raise ExperimentError(f"{folder}: holds no experiments")
+    return found
+
+
+def run_suite(paths: Sequence[Path], results: Path) -> float:
+    """Run experiments, each into a file of its own name; return how many seconds they took.
+
+    All are read before the first runs.  The commit is taken once, as the results themselves may change the
+    work tree.
+    """
+    experiments = [load_experiment(path) for path in paths]
+    commit = current_commit()
+    began = time.monotonic()
+    for path, experiment in zip(paths, experiments, strict=True):
+        experiment_began = time.monotonic()
+        log.info("experiment started", experiment=experiment.name, kind=experiment.kind, seed=experiment.seed)
+        with ResultWriter(results / f"{path.stem}.jsonl", experiment, commit) as writer:
+            run_experiment(experiment, writer)
+        took_s = round(time.monotonic() - experiment_began, 1)
+        log.info("experiment ended", experiment=experiment.name, took_s=took_s)
+    return time.monotonic() - began
