Write the event loop's CPU time while a call waits

On a busy machine the overhead's quantiles hold what other programs took from the sidecar; this part of it does not. Measured: the sums of the synthetic trace in the tests.

--- a/scale/latency/analysis.py
+++ b/scale/latency/analysis.py
@@ -88,6 +88,10 @@
     preempted: Times
     outside: Times  # the kernel, the network, the client, and waking the sidecar up
 
+    def event_loop_cpu(self) -> Times:
+        """CPU time of the event loop, for whatever, while the call waited: what a quiet machine would leave."""
+        return self.own_work + self.other_work + self.collections + self.registry
+
     def parts(self) -> dict[str, Times]:
         """The sources by name."""
         return {
--- a/scale/latency/run.py
+++ b/scale/latency/run.py
@@ -329,7 +329,10 @@
     def _write_sources(self, trace: Trace) -> None:
         overhead = np.array([call.overhead_us for call in self._calls])
         slowest = overhead >= np.percentile(overhead, SLOWEST_PERCENT)
-        for source, times in tell_sources_apart(self._calls, trace).parts().items():
+        sources = tell_sources_apart(self._calls, trace)
+        for percent, value in quantiles_us(sources.event_loop_cpu()).items():
+            self._add("sidecar", f"event loop CPU while a call waits p{percent:g}", value, "us")
+        for source, times in sources.parts().items():
             self._add("sidecar", "mean time of all calls", float(times.mean()), "us", source=source)
             mean_us = float(times[slowest].mean())
             self._add("sidecar", "mean time of the slowest 1 in 100", mean_us, "us", source=source)
--- a/tests/scale/test_latency.py
+++ b/tests/scale/test_latency.py
@@ -97,7 +97,9 @@
             "registry": [(30.0035, 30.0045, 0.001)],
         }
     )
-    parts = tell_sources_apart(calls, trace).parts()
+    sources = tell_sources_apart(calls, trace)
+    assert sources.event_loop_cpu() == pytest.approx([300, 1_800, 700, 1_300, 300], abs=0.1)
+    parts = sources.parts()
     assert parts["garbage collection"] == pytest.approx([0, 1_000, 0, 0, 0], abs=0.1)
     assert parts["registry answers"] == pytest.approx([0, 0, 0, 1_000, 0], abs=0.1)
     assert parts["preempted"] == pytest.approx([0, 0, 600, 0, 0], abs=0.1)
