--- a/scale/latency/analysis.py
+++ b/scale/latency/analysis.py
@@ -89,7 +89,7 @@
     outside: Times  # the kernel, the network, the client, and waking the sidecar up
 
     def event_loop_cpu(self) -> Times:
-        """CPU time of the event loop, for whatever, while the call waited: what a quiet machine would leave."""
+        """CPU time of the event loop while the call waited: about what a quiet machine would leave."""
         return self.own_work + self.other_work + self.collections + self.registry
 
     def parts(self) -> dict[str, Times]:
