Add lost regions and a discovery that fails over to the control experiments

A region's zones leave in one change; and open connections fall silent for good while new ones are served, as where another machine takes discovery's address over. The control experiments with all servers and with a sidecar's own services run every fault.

--- a/scale/control/experiment.py
+++ b/scale/control/experiment.py
@@ -24,7 +24,9 @@
     DISCOVERY_RESTARTED = "discovery_restarted"  # the same, and it comes back without its change log
     DISCOVERY_OVERLOADED = "discovery_overloaded"  # calls wait, then are answered 503
     DISCOVERY_MOVED = "discovery_moved"  # all sidecars are sent to another address at once
+    DISCOVERY_FAILED_OVER = "discovery_failed_over"  # open connections fall silent for good; new ones work
     ZONE_LOST = "zone_lost"  # the servers of one zone leave in one change
+    REGION_LOST = "region_lost"  # the servers of one region's zones leave in one change
     RELEASE = "release"  # the servers of one service leave and come back, one after another
     SIDECARS_RESTARTED = "sidecars_restarted"  # all hollow ones at once
     SIDECARS_CUT_OFF = "sidecars_cut_off"  # half of the hollow ones hear nothing for a while
--- a/scale/control/faults.py
+++ b/scale/control/faults.py
@@ -4,12 +4,13 @@
 
 import random
 import time
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping
 from dataclasses import dataclass
 
 from scale.control.experiment import Fault, FaultKind
 from scale.control.measure import Fleet
 from scale.control.processes import HALVES
+from scale.standins.fleet import zone_name
 from scale.standins.registry import Availability
 from scale.standins.registry_process import (
     ChangeEndpoints,
@@ -17,6 +18,7 @@
     ForgetChanges,
     SetAvailability,
     SetSilent,
+    StrandConnections,
 )
 
 _CUT_OFF = 1  # the half of the hollow sidecars that is cut off
@@ -68,10 +70,27 @@
     return FaultOutcome([moved])
 
 
+def _failed_over(fault: Fault, fleet: Fleet, chooser: random.Random) -> FaultOutcome:
+    """Another machine takes discovery's address over: nobody hears of a change on an open connection."""
+    fleet.registry.client.tell(StrandConnections())
+    return FaultOutcome([_restart_one(fleet, chooser)])
+
+
 def _zone_lost(fault: Fault, fleet: Fleet, chooser: random.Random) -> FaultOutcome:
+    return _zones_lost(fault, fleet, {chooser.choice(fleet.registry.endpoints).zone})
+
+
+def _region_lost(fault: Fault, fleet: Fleet, chooser: random.Random) -> FaultOutcome:
+    experiment = fleet.experiment
+    region = chooser.randrange(experiment.regions)
+    zones = {zone_name(index) for index in range(region, experiment.zones, experiment.regions)}
+    return _zones_lost(fault, fleet, zones)
+
+
+def _zones_lost(fault: Fault, fleet: Fleet, zones: Collection[str]) -> FaultOutcome:
+    """All servers of some zones leave in one change, and come back in another."""
     endpoints = fleet.registry.endpoints
-    zone = chooser.choice(endpoints).zone
-    indexes = [index for index, endpoint in enumerate(endpoints) if endpoint.zone == zone]
+    indexes = [index for index, endpoint in enumerate(endpoints) if endpoint.zone in zones]
     lost = fleet.registry.change(ChangeEndpoints(change="remove", indexes=indexes))
     time.sleep(fault.lasts_s)
     back = fleet.registry.change(ChangeEndpoints(change="add", indexes=indexes))
@@ -115,6 +134,8 @@
     FaultKind.DISCOVERY_RESTARTED: _outage,
     FaultKind.DISCOVERY_OVERLOADED: _outage,
     FaultKind.DISCOVERY_MOVED: _moved,
+    FaultKind.DISCOVERY_FAILED_OVER: _failed_over,
+    FaultKind.REGION_LOST: _region_lost,
     FaultKind.ZONE_LOST: _zone_lost,
     FaultKind.RELEASE: _release,
     FaultKind.SIDECARS_RESTARTED: _sidecars_restarted,
--- a/scale/control/measure.py
+++ b/scale/control/measure.py
@@ -9,6 +9,7 @@
 from hdrh.histogram import HdrHistogram
 
 from scale.control.delays import new_histogram, record_seconds, seconds_at
+from scale.control.experiment import ControlExperiment
 from scale.control.hollow import Delays
 from scale.control.processes import HollowGroup, RealSidecar, Registry
 from scale.processes import ManagedProcess, Usage
@@ -34,6 +35,7 @@
 class Fleet:
     """The processes of one point of an experiment."""
 
+    experiment: ControlExperiment
     registry: Registry
     hollow: HollowGroup
     real: list[RealSidecar]
--- a/scale/control/run.py
+++ b/scale/control/run.py
@@ -53,7 +53,7 @@
             RealSidecar(group, registry, experiment, index, Path(folder))
             for index in range(experiment.real_sidecars)
         ]
-        yield Fleet(registry, hollow_group, real)
+        yield Fleet(experiment, registry, hollow_group, real)
 
 
 class PeakSampler:
--- a/scale/standins/registry.py
+++ b/scale/standins/registry.py
@@ -208,6 +208,12 @@
                 connection.abort()
         chosen.silent = silent
 
+    def strand_connections(self) -> None:
+        """Let all open connections fall silent for good, as where another machine takes an address over."""
+        for listener in self._listeners:
+            for connection in listener.connections:
+                connection.silent = True
+
     def _end_watches(self) -> None:
         watches, self._watches = self._watches, {}
         for watch in watches:
@@ -228,6 +234,7 @@
     """One connection: reads calls, one at a time, and answers them."""
 
     def __init__(self, server: RegistryServer, listener: Listener) -> None:
+        self.silent = False  # whether nothing is read or written any more
         self._server = server
         self._listener = listener
         self._transport: asyncio.Transport | None = None
@@ -249,7 +256,7 @@
 
     def data_received(self, data: bytes) -> None:
         self._server.counts.bytes_in += len(data)
-        if self._listener.silent:
+        if self.silent or self._listener.silent:
             return
         self._unread += data
         self._read_call()
@@ -297,7 +304,7 @@
             self._timer.cancel()
             self._timer = None
         self._server.forget(self)
-        if not self._listener.silent:
+        if not (self.silent or self._listener.silent):
             self._answer()
 
     def _answer(self) -> None:
--- a/scale/standins/registry_process.py
+++ b/scale/standins/registry_process.py
@@ -48,6 +48,12 @@
     silent: bool
 
 
+class StrandConnections(Message):
+    """Let all open connections fall silent for good, while new ones are served."""
+
+    command: Literal["strand"] = "strand"
+
+
 class ForgetChanges(Message):
     """Lose the change log, as by a restart of the registry."""
 
@@ -93,7 +99,13 @@
 
 
 RegistryCommand = Annotated[
-    ChangeEndpoints | SetAvailability | SetSilent | ForgetChanges | GetCounts | GetObserved,
+    ChangeEndpoints
+    | SetAvailability
+    | SetSilent
+    | StrandConnections
+    | ForgetChanges
+    | GetCounts
+    | GetObserved,
     Field(discriminator="command"),
 ]
 _COMMANDS: TypeAdapter[RegistryCommand] = TypeAdapter(RegistryCommand)
@@ -116,6 +128,8 @@
                 self._server.set_availability(command.availability)
             case SetSilent():
                 self._server.set_silent(command.listener, command.silent)
+            case StrandConnections():
+                self._server.strand_connections()
             case ForgetChanges():
                 self._server.change_log.forget_changes()
             case GetCounts():
--- a/tests/scale/test_control.py
+++ b/tests/scale/test_control.py
@@ -141,9 +141,16 @@
     pairs = "in force, measured"
     assert value(results, "steady", "hollow sidecar", pairs, rate=20.0) == 8 * 10
     assert value(results, "steady", "real sidecar", pairs, rate=20.0) == 10
-    for phase in ("discovery_down", "discovery_restarted", "discovery_moved", "sidecars_restarted"):
+    for phase in (
+        "discovery_down",
+        "discovery_restarted",
+        "discovery_moved",
+        "discovery_failed_over",
+        "sidecars_restarted",
+    ):
         assert value(results, phase, "hollow sidecar", pairs) == 8
-    assert value(results, "zone_lost", "hollow sidecar", pairs) == 2 * 8
+    for phase in ("zone_lost", "region_lost"):
+        assert value(results, phase, "hollow sidecar", pairs) == 2 * 8
     assert value(results, "release", "hollow sidecar", pairs) == 3 * 35 * 8
     assert value(results, "release", "real sidecar", pairs) == 3 * 35
     assert value(results, "sidecars_cut_off", "hollow sidecar", pairs) == 4
@@ -154,7 +161,7 @@
     for phase in ("discovery_restarted", "discovery_moved"):
         assert value(results, phase, "discovery", snapshots) == 9  # each sidecar fetches the whole list
     assert value(results, "sidecars_restarted", "discovery", snapshots) == 8
-    for phase in ("discovery_down", "zone_lost", "release", "sidecars_cut_off"):
+    for phase in ("discovery_down", "zone_lost", "region_lost", "release", "sidecars_cut_off"):
         assert value(results, phase, "discovery", snapshots) == 0
     assert value(results, "discovery_down", "discovery", "refused") >= 9
     assert value(results, "release", "discovery", "refused") == 0
--- a/tests/scale/test_registry_standin.py
+++ b/tests/scale/test_registry_standin.py
@@ -170,6 +170,22 @@
     asyncio.run(check_silence())
 
 
+async def check_stranded() -> None:
+    log = ChangeLog(ENDPOINTS)
+    async with registry(log) as (server, [address]):
+        _, writer = await send(address, call("?after=1&wait_ms=60000"))
+        await until_watching(server, 1)
+        server.strand_connections()
+        log.restart(["s-1"], 5)
+        assert (await ask(address, "?after=1"))[1]["index"] == 2
+        assert server.counts.deltas == 1  # and none to the watch
+        writer.close()
+
+
+def test_stranded_watch_hears_nothing_while_new_calls_are_served() -> None:
+    asyncio.run(check_stranded())
+
+
 async def check_kept_connection() -> None:
     log = ChangeLog(make_endpoints(4_900, zones=18, seed=1))
     async with registry(log) as (server, [address]):
