--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -9,7 +9,7 @@
 from warped import Service
 
 from topazbank.net import discovery, upstream
-from topazbank.net.upstream import Connection
+from topazbank.net.upstream import Address, Connection
 
 
 @pytest.fixture
@@ -18,10 +18,10 @@
     made: list[Service] = []
     connect = upstream.connect
 
-    async def dial(address: object, *given: object) -> Connection:
+    async def dial(address: Address, body_most: int) -> Connection:
         if any(each.address == address and each.fault == "cut off" for each in made):
             await asyncio.Event().wait()
-        return await connect(address, *given)  # type: ignore[arg-type]
+        return await connect(address, body_most)
 
     def make() -> Service:
         made.append(Service())
--- a/tests/test_registry_crossings.py
+++ b/tests/test_registry_crossings.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 import pytest
@@ -46,6 +47,11 @@
     assert len(w.servers[0].requests) == seen
 
 
+def has_sent(w: World, count: int) -> bool:
+    """Whether so many requests have come to servers."""
+    return len(w.sent()) == count
+
+
 async def hold_at_first(w: World) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
     """A request that is out at s-0, which does not answer yet."""
     first = w.servers[0]
@@ -53,8 +59,7 @@
     for number in range(200):
         reader, writer = await asyncio.open_connection(*w.sidecar.frontend.address)
         writer.write(request("pay", body=b"held", budget="500", X_Call_Id=f"held-{number}"))
-        sent = len(w.sent()) + 1
-        await until(lambda sent=sent: len(w.sent()) == sent)  # type: ignore[misc]
+        await until(partial(has_sent, w, len(w.sent()) + 1))
         if first.requests:
             return reader, writer
         assert (await read_answer(reader))[0] == 200
--- a/tests/test_request_crossings.py
+++ b/tests/test_request_crossings.py
@@ -61,8 +61,10 @@
     """Let each dial to an address come to its end only with the reset of the connection in the kernel."""
     connect = upstream.connect
 
-    async def delayed(address: Address, *given: object) -> Connection:
-        connection = await connect(address, *given)  # type: ignore[arg-type]
+    async def delayed(
+        address: Address, body_most: int, stall_s: float | None = None, sock: socket.socket | None = None
+    ) -> Connection:
+        connection = await connect(address, body_most, stall_s, sock)
         if address == victim:
             assert connection._transport is not None
             connection._transport.pause_reading()  # the loop may not hear of it first
