--- a/tests/scale/test_latency.py
+++ b/tests/scale/test_latency.py
@@ -3,11 +3,15 @@
 from __future__ import annotations
 
 import gc
+import signal
+import subprocess
+import sys
 from collections.abc import Sequence
 from pathlib import Path
 from typing import Any
 
 import numpy as np
+import psutil
 import pytest
 
 from scale.errors import ExperimentError
@@ -20,6 +24,7 @@
 from scale.results import Measurement, ResultWriter, read_results
 from scale.standins.server import ServedBody
 
+PATIENCE_S = 60.0
 EXPERIMENTS = Path(__file__).resolve().parents[2] / "scale" / "experiments"
 GIVEN: dict[str, Any] = {
     "name": "a",
@@ -153,3 +158,32 @@
     assert traced["garbage collections"] == 0 and traced["registry calls timed"] > 0
     sources = [each for each in measurements if each.metric == "mean time of all calls"]
     assert len({each.labels["source"] for each in sources}) == len(sources) == 6
+
+
+def test_interrupted_run_ends_its_processes(tmp_path: Path) -> None:
+    experiment = EXPERIMENTS / "latency-small.toml"
+    command = [
+        sys.executable,
+        "-m",
+        "scale",
+        "run",
+        str(experiment),
+        "--results",
+        str(tmp_path / "out.jsonl"),
+    ]
+    run = subprocess.Popen(command, stderr=subprocess.PIPE)
+    started: list[psutil.Process] = []
+    try:
+        assert run.stderr is not None
+        while b"point started" not in run.stderr.readline():
+            assert run.poll() is None
+        while len(started) < 2:  # the servers and the sidecar
+            assert run.poll() is None
+            started = psutil.Process(run.pid).children()
+        run.send_signal(signal.SIGINT)
+        assert run.wait(PATIENCE_S) != 0
+        assert not any(each.is_running() for each in started)
+        run.stderr.close()
+    finally:
+        run.kill()
+        run.wait()
