Count a collection inside a registry answer once

Whole lists of 4,900 set off collections while they are read, and both were taken off the event loop's work: at 0.2 whole lists a second the slowest calls' own work came out at -10 ms.

--- a/scale/latency/analysis.py
+++ b/scale/latency/analysis.py
@@ -78,7 +78,8 @@
 class Sources:
     """Where each call's overhead went, in microseconds; the parts sum up to the overhead.
 
-    Time without the CPU inside a callback is `preempted`; collections and registry answers are CPU time.
+    Time without the CPU inside a callback is `preempted`; collections and registry answers are CPU time.  A
+    collection that reading an answer sets off counts as a collection.
     """
 
     own_work: Times  # callbacks of the event loop, as long as those of a typical call
@@ -118,13 +119,13 @@
         return both
 
     busy = in_windows("wall_s", "callbacks")
-    preempted = np.maximum(busy - in_windows("cpu_s", "callbacks"), 0.0)
+    cpu = in_windows("cpu_s", "callbacks")
     collections = in_windows("cpu_s", "collections")
-    registry = np.maximum(in_windows("cpu_s", "registry"), 0.0)
-    work = busy - preempted - collections - registry
+    registry = in_windows("cpu_s", "registry") - in_windows("cpu_s", "collections_in_registry")
+    work = cpu - collections - registry
     own = np.minimum(work, _typical_work(work, new))
     overhead = np.array([call.overhead_us for call in calls])
-    return Sources(own, work - own, collections, registry, preempted, overhead - busy)
+    return Sources(own, work - own, collections, registry, busy - cpu, overhead - busy)
 
 
 def _typical_work(work: Times, new: np.ndarray[tuple[int], np.dtype[np.bool_]]) -> Times:
--- a/scale/latency/tracing.py
+++ b/scale/latency/tracing.py
@@ -117,6 +117,7 @@
         self.callbacks = BusyTime(given["callbacks"])
         self.collections = BusyTime(given["collections"])
         self.registry = BusyTime(given["registry"])
+        self.collections_in_registry = BusyTime(_inside(given["collections"], given["registry"]))
         self.collection_count = len(given["collections"])
         self.registry_count = len(given["registry"])  # two for each answer: it is read, then applied
 
@@ -124,3 +125,8 @@
     def read(path: Path) -> Trace:
         """Read what `Tracer.write` wrote; raise OSError or ValueError where that cannot be done."""
         return Trace(json.loads(path.read_text(encoding="utf-8")))
+
+
+def _inside(inner: list[Span], outer: list[Span]) -> list[Span]:
+    """The spans that lie inside one of the others."""
+    return [span for span in inner if any(began <= span[0] and span[1] <= ended for began, ended, _ in outer)]
--- a/tests/scale/test_latency.py
+++ b/tests/scale/test_latency.py
@@ -113,6 +113,16 @@
     assert sum(parts.values()) == pytest.approx([3_000] * 5, abs=0.1)
 
 
+def test_collection_within_a_registry_answer_counts_once() -> None:
+    calls = served_calls(call(0.0, 2_000, 5_000))
+    answer, collection = (0.003, 0.0045, 0.0015), (0.0035, 0.004, 0.0005)
+    trace = Trace({"callbacks": [answer], "collections": [collection], "registry": [answer]})
+    parts = tell_sources_apart(calls, trace).parts()
+    assert parts["garbage collection"] == pytest.approx([500], abs=0.1)
+    assert parts["registry answers"] == pytest.approx([1_000], abs=0.1)
+    assert parts["own work"] == pytest.approx([0], abs=0.1)
+
+
 def test_work_on_a_new_connection_is_compared_with_its_like() -> None:
     calls = served_calls(call(0, 2_000, 5_000, connection_call=1), call(10, 2_000, 5_000))
     trace = Trace({"callbacks": [(0.0, 0.0008, 0.0008)], "collections": [], "registry": []})
