--- a/scale/control/measure.py
+++ b/scale/control/measure.py
@@ -117,6 +117,8 @@
     writer.add("discovery", "refused", after.counts.refused - before.counts.refused, "answers", labels)
     hollow = sum(map(_cores, before.hollow, after.hollow)) / fleet.hollow.count
     writer.add("hollow sidecar", "cpu", hollow, "cores", labels)
+    busiest = max(map(_cores, before.hollow, after.hollow))
+    writer.add("hollow process", "cpu, largest", busiest, "cores", labels)  # near 1: its delays are its own
     if fleet.real:
         real = list(map(_cores, before.real, after.real))
         memory = [usage.memory_bytes for usage in after.real]
