Tell the traffic of real sidecars from that of hollow ones

Hollow sidecars that share a process answer late and so call less often in a release: the mean over all sidecars hid what a real one calls and receives. Each real sidecar has addresses of its own at the stand-in, so its calls and bytes are counted there.

--- a/scale/control/processes.py
+++ b/scale/control/processes.py
@@ -34,7 +34,9 @@
     Counts,
     GetCounts,
     GetObserved,
+    GetTraffic,
     Observed,
+    TrafficTotals,
 )
 
 HALVES = (0, 1)  # hollow sidecars call at two addresses, so that one half can be cut off
@@ -79,6 +81,13 @@
         """What it has done so far."""
         return self.client.ask(GetCounts(), Counts)
 
+    def real_traffic(self, real_sidecars: int) -> TrafficTotals:
+        """What went between the registry and all real sidecars so far."""
+        listeners = [
+            self.real_listener(index, moved) for index in range(real_sidecars) for moved in (False, True)
+        ]
+        return self.client.ask(GetTraffic(listeners=listeners), TrafficTotals)
+
     def real_delays(self, changes: list[Committed], real_sidecars: int, moved: bool) -> Observed:
         """When each real sidecar was first seen to hold each change."""
         listeners = [self.real_listener(index, moved) for index in range(real_sidecars)]
--- a/scale/standins/registry.py
+++ b/scale/standins/registry.py
@@ -124,6 +124,14 @@
     after: int
 
 
+@dataclass(slots=True)
+class ListenerTraffic:
+    """What went through one listener since the start."""
+
+    calls: int = 0
+    http_bytes: int = 0  # both ways, without the headers of TCP and IP
+
+
 @dataclass(slots=True)
 class Listener:
     """An address at which the registry is reached."""
@@ -132,6 +140,7 @@
     address: Address
     silent: bool = False
     observed: list[ObservedCall] | None = None  # what was called here, where that is noted
+    traffic: ListenerTraffic = field(default_factory=ListenerTraffic)
     connections: set[RegistryConnection] = field(default_factory=set)
 
 
@@ -184,6 +193,10 @@
         """The calls noted at a listener, the oldest first; empty where none are noted."""
         return list(self._listeners[listener].observed or ())
 
+    def traffic(self, listener: int) -> ListenerTraffic:
+        """What went through a listener since the start."""
+        return self._listeners[listener].traffic
+
     @property
     def availability(self) -> Availability:
         """How calls are treated."""
@@ -256,6 +269,7 @@
 
     def data_received(self, data: bytes) -> None:
         self._server.counts.bytes_in += len(data)
+        self._listener.traffic.http_bytes += len(data)
         if self.silent or self._listener.silent:
             return
         self._unread += data
@@ -271,6 +285,7 @@
             return
         self._unread = rest
         self._server.counts.calls += 1
+        self._listener.traffic.calls += 1
         try:
             self._call = parse_call(head)
         except MalformedCallError as error:
@@ -329,6 +344,7 @@
         head = b"HTTP/1.1 %d %b\r\nContent-Type: application/json\r\n%bContent-Length: %d\r\n\r\n"
         written = head % (status, status.phrase.encode(), close, len(body))
         self._server.counts.bytes_out += len(written) + len(body)
+        self._listener.traffic.http_bytes += len(written) + len(body)
         first = _PART - len(written)
         self._body = memoryview(body)[first:]
         self._transport.write(written + body[:first])
--- a/scale/standins/registry_process.py
+++ b/scale/standins/registry_process.py
@@ -84,6 +84,20 @@
     watching: int
 
 
+class GetTraffic(Message):
+    """Ask what went through some listeners since the start."""
+
+    command: Literal["traffic"] = "traffic"
+    listeners: list[int]
+
+
+class TrafficTotals(Message):
+    """What went through the listeners asked for, together."""
+
+    calls: int
+    http_bytes: int
+
+
 class GetObserved(Message):
     """Ask when the only sidecar of each observed listener was first seen to hold a version."""
 
@@ -105,6 +119,7 @@
     | StrandConnections
     | ForgetChanges
     | GetCounts
+    | GetTraffic
     | GetObserved,
     Field(discriminator="command"),
 ]
@@ -134,6 +149,12 @@
                 self._server.change_log.forget_changes()
             case GetCounts():
                 return self._counts()
+            case GetTraffic():
+                traffic = [self._server.traffic(listener) for listener in command.listeners]
+                return TrafficTotals(
+                    calls=sum(each.calls for each in traffic),
+                    http_bytes=sum(each.http_bytes for each in traffic),
+                )
             case GetObserved():
                 return self._observed(command)
         return Done()
--- a/tests/scale/test_registry_standin.py
+++ b/tests/scale/test_registry_standin.py
@@ -163,6 +163,7 @@
         with pytest.raises((ConnectionError, asyncio.IncompleteReadError)):
             await read_answer(reader)
         assert (await ask(second))[0] == 200
+        assert (server.traffic(0).calls, server.traffic(1).calls) == (1, 1)  # the silent call was never read
         writer.close()
 
 
