--- /dev/null
+++ b/tests/test_decision_digest.py
@@ -0,0 +1,15 @@
+"""The recorder of decisions: one seed gives one digest."""
+
+from __future__ import annotations
+
+import pytest
+from decision_digest import SCENARIOS, Recorder, Scenario
+
+EVENTS = 300
+
+
+@pytest.mark.parametrize("scenario", SCENARIOS, ids=lambda scenario: scenario.name)
+def test_runs_with_one_seed_decide_alike_and_with_another_seed_differently(scenario: Scenario) -> None:
+    first = Recorder(scenario, seed=1).run(EVENTS)
+    assert Recorder(scenario, seed=1).run(EVENTS) == first
+    assert Recorder(scenario, seed=2).run(EVENTS) != first
