--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -10,8 +10,10 @@
 from collections.abc import AsyncIterator, Callable, Coroutine, Iterator
 from typing import Any
 
+import pytest
 from helpers import KEYED, SAFE, UNSAFE, S, settings
 
+from topazbank.net import upstream
 from topazbank.net.discovery import parse_registry
 from topazbank.net.sidecar import Config, Sidecar
 from topazbank.net.upstream import Address
@@ -52,6 +54,27 @@
     return "\r\n".join([*lines, "", ""]).encode() + body
 
 
+# What servers do with a request, whatever it is.
+
+
+def served(*_: object) -> bytes:
+    return answer(200, b"served")
+
+
+def hung(*_: object) -> None:
+    """Say nothing."""
+
+
+def broken(*_: object) -> bytes:
+    """Reset the connection."""
+    return b""
+
+
+def full(*_: object) -> bytes:
+    """Turn it away: it has not run."""
+    return answer(503, b"", X_Rejected="1")
+
+
 def reset(writer: asyncio.StreamWriter) -> None:
     """Break a connection as a process that dies does."""
     sock = writer.get_extra_info("socket")
@@ -264,6 +287,28 @@
         return True
 
 
+@contextlib.contextmanager
+def unread() -> Iterator[socket.socket]:
+    """A listener whose connections hold little of what nobody reads."""
+    with socket.socket() as listener:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
+        listener.bind(("127.0.0.1", 0))
+        listener.listen()
+        yield listener
+
+
+def shrink_send_buffers(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Let new connections to servers take little at once, so that long requests are written in parts."""
+    new_socket = upstream.new_socket
+
+    def small(address: Address) -> socket.socket:
+        made = new_socket(address)
+        made.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        return made
+
+    monkeypatch.setattr(upstream, "new_socket", small)
+
+
 @contextlib.contextmanager
 def deaf() -> Iterator[Address]:
     """A listener whose queue is full: connections to it never come up."""
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -15,9 +15,11 @@
     answer,
     ask,
     deaf,
+    hung,
     play,
     request,
     reset,
+    served,
     until,
     world,
 )
@@ -36,22 +38,6 @@
 )
 
 
-def served(*_: object) -> bytes:
-    return answer(200, b"served")
-
-
-def hung(*_: object) -> None:
-    return None
-
-
-def broken(*_: object) -> bytes:
-    return b""
-
-
-def full(*_: object) -> bytes:
-    return answer(503, b"", X_Rejected="1")
-
-
 def test_a_request_goes_on_unchanged_and_its_answer_comes_back_unchanged() -> None:
     async def scene() -> None:
         body = bytes(range(256)) * 16
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -23,10 +23,13 @@
     World,
     answer,
     deaf,
+    full,
+    hung,
     is_closed,
     play,
     read_answer,
     request,
+    served,
     until,
     world,
 )
@@ -50,18 +53,6 @@
 _FIN_WAIT2 = 5  # as TCP_INFO tells it: the other side's kernel has the end
 
 
-def served(*_: object) -> bytes:
-    return answer(200, b"served")
-
-
-def hung(*_: object) -> None:
-    return None
-
-
-def full(*_: object) -> bytes:
-    return answer(503, b"", X_Rejected="1")
-
-
 class Client:
     """A client whose end is in the sidecar's kernel once it has left, though its event loop had no turn."""
 
@@ -629,101 +620,3 @@
         discovery.stop()
 
     play(scene())
-
-
-# -- Servers begin to forget a keyed request x a further attempt of it is written
-
-
-def broken(*_: object) -> bytes:
-    return b""
-
-
-def other_than(w: World, first: FakeServer) -> str:
-    (name,) = [each.name for each in w.servers if each is not first]
-    return name
-
-
-@pytest.mark.parametrize("late", [True, False])
-def test_a_connection_comes_up_as_servers_forget_the_attempt_before(
-    late: bool, monkeypatch: pytest.MonkeyPatch
-) -> None:
-    dialled, go_on = asyncio.Event(), asyncio.Event()
-    dials: list[object] = []
-    connect = upstream.connect
-
-    async def second_held_up(*given: object) -> Connection:
-        dials.append(given)
-        connection = await connect(*given)  # type: ignore[arg-type]
-        if len(dials) == 2:
-            dialled.set()
-            await go_on.wait()
-        return connection
-
-    monkeypatch.setattr(upstream, "connect", second_held_up)
-
-    async def scene() -> None:
-        async with world(broken, broken) as w:
-            asked = asyncio.create_task(w.ask(kind="amend", body=b"x", budget="500"))
-            await dialled.wait()
-            ((_, head, _),) = w.sent()
-            (first,) = [each for each in w.servers if each.requests]
-            for each in w.servers:
-                each.script = served
-            if late:
-                w.sidecar._clock._offset_us += 2 * S  # the window of the class
-            go_on.set()
-            status, _, body = await asked
-            if late:
-                assert (status, body) == (500, b"") and len(w.sent()) == 1
-                (kept,) = w.sidecar._upstream._endpoints[other_than(w, first)].idle
-                assert kept[0].is_idle()  # the connection serves others
-            else:
-                assert (status, body) == (200, b"served")
-                assert [each["x-call-id"] for _, each, _ in w.sent()] == [head["x-call-id"]] * 2
-
-    play(scene())
-
-
-def test_servers_forget_a_request_as_its_repeat_is_half_written(monkeypatch: pytest.MonkeyPatch) -> None:
-    new_socket = upstream.new_socket
-
-    def small(address: Address) -> socket.socket:
-        made = new_socket(address)
-        made.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
-        return made
-
-    monkeypatch.setattr(upstream, "new_socket", small)
-
-    async def scene() -> None:
-        with socket.socket() as unread:
-            unread.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
-            unread.bind(("127.0.0.1", 0))
-            unread.listen()
-            async with world(broken, broken) as w:
-
-                def breaks_and_leaves_the_other(*_: object) -> bytes:
-                    (first,) = [each for each in w.servers if each.requests]
-                    w.sidecar._upstream.update(
-                        other_than(w, first), unread.getsockname()[:2], None, ServerState.READY
-                    )
-                    return b""
-
-                for each in w.servers:
-                    each.script = breaks_and_leaves_the_other
-                asked = asyncio.create_task(w.ask(kind="amend", body=bytes(60_000), budget="500"))
-                await until(lambda: any(each.begun == {0, 1} for each in w.sidecar._live.values()))
-                (live,) = w.sidecar._live.values()
-                exchange = live.out[1]
-                assert exchange is not None and not exchange.is_written()
-                (timer,) = [each for each in exchange.timers if each._callback == w.sidecar._repeat_over]  # type: ignore[attr-defined]
-                due = w.sidecar._clock.on_loop(w.sidecar._clock.now() + 2 * S)
-                assert timer.when() < due  # counted from the attempt before
-                timer._run()
-                assert (await asked)[0] == 500
-                assert exchange.connection is not None and not exchange.connection.written
-                accepted, _ = unread.accept()
-                with accepted:
-                    got = sum(map(len, iter(lambda: accepted.recv(65536), b"")))
-                assert 0 < got < 60_000
-
-    play(scene())
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -6,17 +6,13 @@
 
 import pytest
 from helpers import S
-from loopback import FakeDiscovery, answer, play, until, world
+from loopback import FakeDiscovery, answer, play, served, until, world
 from warped import play_warped
 
 from topazbank.interface import ServerState
 from topazbank.net.discovery import _IDLE_S, Discovery, RegistryResponse, parse_registry
 
 
-def served(*_: object) -> bytes:
-    return answer(200, b"served")
-
-
 def entry(name: Any = "s-1", **changes: Any) -> dict[str, Any]:
     given = {"name": name, "address": "127.0.0.1:9", "zone": "a", "type": "m", "group": 1}
     return given | {"status": "active", "weight": 1.0, "since_ms": 0} | changes
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -22,6 +22,7 @@
     play,
     read_answer,
     request,
+    served,
     until,
     world,
 )
@@ -30,11 +31,6 @@
 from topazbank.interface import Action, Event, Refuse, RequestArrived, ServerState
 from topazbank.net.frontend import _LIMITS_S, ClientConnection, Frontend, Hooks, Phase
 
-
-def served(*_: object) -> bytes:
-    return answer(200, b"served")
-
-
 BIG = bytes(64 * 1024 + 1)
 
 
--- a/tests/test_registry_crossings.py
+++ b/tests/test_registry_crossings.py
@@ -10,7 +10,7 @@
 
 import pytest
 from helpers import S
-from loopback import FakeServer, World, answer, ask, read_answer, request, reset, until, world
+from loopback import FakeServer, World, answer, ask, hung, read_answer, request, reset, served, until, world
 from warped import STEP_S, Service, now_s, pass_s, play_warped, told_within
 
 from topazbank.interface import ServerState
@@ -21,14 +21,6 @@
 RULES = {"ask_within_us": 60 * S}
 
 
-def served(*_: object) -> bytes:
-    return answer(200, b"served")
-
-
-def hung(*_: object) -> None:
-    return None
-
-
 async def gone_within(w: World, limit_s: float, began: float) -> None:
     """Wait until connections to s-0 are no use any more, which has to be in time."""
     while "s-0" in w.sidecar._upstream._endpoints:
--- a/tests/test_request_crossings.py
+++ b/tests/test_request_crossings.py
@@ -11,13 +11,16 @@
 from loopback import (
     Listening,
     World,
-    answer,
+    hung,
     is_closed,
     play,
     read_answer,
     read_message,
     request,
     reset,
+    served,
+    shrink_send_buffers,
+    unread,
     until,
     world,
 )
@@ -31,14 +34,6 @@
 _GAP_S = 0.005  # between pieces: the event loop reads each by itself
 
 
-def served(*_: object) -> bytes:
-    return answer(200, b"served")
-
-
-def hung(*_: object) -> None:
-    return None
-
-
 # -- A server dies x the connection that it accepted
 
 
@@ -113,34 +108,24 @@
 def test_a_server_dies_as_a_long_request_is_half_written_and_another_serves_it(
     kind: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    new_socket = upstream.new_socket
-
-    def small(address: Address) -> socket.socket:
-        made = new_socket(address)
-        made.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
-        return made
-
-    monkeypatch.setattr(upstream, "new_socket", small)
+    shrink_send_buffers(monkeypatch)
 
     async def scene() -> None:
-        with socket.socket() as unread:
-            unread.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
-            unread.bind(("127.0.0.1", 0))
-            unread.listen()
-            unread.setblocking(False)
+        with unread() as listener:
+            listener.setblocking(False)
             met: list[int] = []
 
             async def accept_and_die() -> None:
-                accepted, _ = await asyncio.get_running_loop().sock_accept(unread)
+                accepted, _ = await asyncio.get_running_loop().sock_accept(listener)
                 with accepted:  # closed with bytes unread, which is a reset
                     accepted.setblocking(False)
-                    met.append(len(await asyncio.get_running_loop().sock_recv(accepted, 1024)))
+                    met.append(len(await asyncio.get_running_loop().sock_recv(accepted, 1)))
 
             dying = asyncio.create_task(accept_and_die())
             async with world(served, served) as w:
-                w.sidecar._upstream.update("s-0", unread.getsockname()[:2], None, ServerState.READY)
+                w.sidecar._upstream.update("s-0", listener.getsockname()[:2], None, ServerState.READY)
                 status, body = await ask_until_met(w, kind, bytes(60_000), lambda: met)
-                assert (status, body) == (200, b"served") and met == [1024]
+                assert (status, body) == (200, b"served") and met == [1]
                 last = f"{w._asked:016x}"
                 sent = [each for _, head, each in w.sent() if head["x-call-id"] == last]
                 assert sent == [bytes(60_000)]
--- a/tests/test_told.py
+++ b/tests/test_told.py
@@ -8,16 +8,12 @@
 
 import pytest
 from helpers import S
-from loopback import answer, world
+from loopback import served, world
 from warped import STEP_S, Service, now_s, pass_s, play_warped, told_within
 
 TOLD_S = 6.0  # after discovery has it and can be reached, a change counts as told
 
 
-def served(*_: object) -> bytes:
-    return answer(200, b"served")
-
-
 # The settings allow far longer; nothing of that counts after a failed call.
 RULES = {"ask_within_us": 60 * S}
 FAULTS = ("503", "reset", "refused", "cut off", "silent")
