--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -195,6 +195,10 @@
         """All requests that reached servers, by server."""
         return [request for server in self.servers for request in server.requests]
 
+    async def connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Open a connection to the sidecar, as a client does."""
+        return await asyncio.open_connection(*self.sidecar.frontend.address)
+
     async def ask(self, **changes: Any) -> tuple[int, Head, bytes]:
         """Ask with an id of its own, as each request has."""
         self._asked += 1
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -183,7 +183,7 @@
 def test_a_client_that_leaves_ends_its_attempt() -> None:
     async def scene() -> None:
         async with world(hung) as w:
-            _, writer = await asyncio.open_connection(*w.sidecar.frontend.address)
+            _, writer = await w.connect()
             writer.write(request("pay", body=b"x"))
             await until(w.sent)
             writer.close()
@@ -535,7 +535,7 @@
         with deaf() as address:
             async with world(served, limits=limits) as w:
                 w.sidecar._upstream.update("s-0", address, None, ServerState.READY)
-                _, writer = await asyncio.open_connection(*w.sidecar.frontend.address)
+                _, writer = await w.connect()
                 writer.write(request("pay", body=b"x", budget="600"))
                 await until(lambda: w.sidecar._upstream._open == 1)
                 writer.close()
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -256,7 +256,7 @@
 
 async def flood(w: World, held: bytes) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
     """Send a request that is held at its server, and then more than is kept."""
-    reader, writer = await asyncio.open_connection(*w.sidecar.frontend.address)
+    reader, writer = await w.connect()
     writer.write(held)
     await until(w.sent)
     ahead = request("pay", body=bytes(60_000), X_Call_Id="ahead")
@@ -372,7 +372,7 @@
             w.servers[0].script = served
             w.servers[0].writers[0].write(answer(200, bytes(60_000)))
             await until(lambda: connection._stuck and w.sidecar.frontend._accepting)
-            reader, writer = await asyncio.open_connection(*w.sidecar.frontend.address)
+            reader, writer = await w.connect()
             writer.write(request(X_Call_Id="new"))
             await until(lambda: not w.sidecar.frontend._accepting)  # it came, and there was no room
             slow_reader, slow_writer = await asyncio.open_connection(sock=slow)
@@ -393,11 +393,11 @@
 
     async def scene() -> None:
         async with world(hung, sockets=66) as w:  # room for one client
-            held, held_writer = await asyncio.open_connection(*w.sidecar.frontend.address)
+            held, held_writer = await w.connect()
             held_writer.write(request("pay", body=b"held", budget="500"))
             await until(w.sent)
             await until(lambda: w.sidecar.frontend._accepting)
-            waiting, waiting_writer = await asyncio.open_connection(*w.sidecar.frontend.address)
+            waiting, waiting_writer = await w.connect()
             waiting_writer.write(request("pay", body=b"waits", budget="500", X_Call_Id="waits"))
             await until(lambda: not w.sidecar.frontend._accepting)  # there was no room for it
             drained = asyncio.create_task(w.sidecar._drain())
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -80,7 +80,7 @@
 def test_bad_input_is_answered_and_never_sent_on(data: bytes, status: int) -> None:
     async def scene() -> None:
         async with world(served, tenants=[{"name": "acme"}]) as w:
-            reader, writer = await asyncio.open_connection(*w.sidecar.frontend.address)
+            reader, writer = await w.connect()
             writer.write(data)
             head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), PATIENCE_S)
             assert head.startswith(b"HTTP/1.1 %d " % status)
@@ -95,7 +95,7 @@
 def test_requests_on_one_connection_are_answered_in_order_even_if_sent_ahead() -> None:
     async def scene() -> None:
         async with world(lambda first, *_: answer(200, first.encode())) as w:
-            reader, writer = await asyncio.open_connection(*w.sidecar.frontend.address)
+            reader, writer = await w.connect()
             writer.write(
                 b"".join(request(path=f"/api/{number}", X_Call_Id=f"{number}") for number in range(20))
             )
@@ -109,7 +109,7 @@
 def test_a_body_of_the_largest_size_in_pieces_is_taken() -> None:
     async def scene() -> None:
         async with world(served) as w:
-            reader, writer = await asyncio.open_connection(*w.sidecar.frontend.address)
+            reader, writer = await w.connect()
             data = request("pay", body=BIG[:-1], Expect="100-continue")
             head = data.index(b"\r\n\r\n") + 4
             writer.write(data[:head])
@@ -199,7 +199,7 @@
     # Guards the descriptors: 66 sockets leave one for clients.
     async def scene() -> None:
         async with world(served, sockets=66) as w:
-            first, writer = await asyncio.open_connection(*w.sidecar.frontend.address)
+            first, writer = await w.connect()
             writer.write(request())
             assert (await read_answer(first))[0] == 200
             for _ in range(3):
@@ -246,7 +246,7 @@
     # Guards against closing a connection under a request that was taken by the kernel, not yet by us.
     async def scene() -> None:
         async with world(served) as w:
-            _, writer = await asyncio.open_connection(*w.sidecar.frontend.address)
+            _, writer = await w.connect()
             await until(lambda: w.sidecar.frontend.connections)
             connection: ClientConnection = next(iter(w.sidecar.frontend.connections))
             assert connection.is_idle()
@@ -264,7 +264,7 @@
     # Guards against closing on unread bytes, which resets the connection and the answer with it.
     async def scene() -> None:
         async with world(served) as w:
-            reader, writer = await asyncio.open_connection(*w.sidecar.frontend.address)
+            reader, writer = await w.connect()
             writer.write(request("pay", body=BIG * 64)[:-1])
             with contextlib.suppress(ConnectionError):
                 await writer.drain()
@@ -298,7 +298,7 @@
 def test_the_id_of_a_request_that_is_still_out_is_turned_away() -> None:
     async def scene() -> None:
         async with world(lambda *_: None) as w:
-            reader, writer = await asyncio.open_connection(*w.sidecar.frontend.address)
+            reader, writer = await w.connect()
             writer.write(request("pay", body=b"first", X_Call_Id="one"))
             await until(w.sent)
             assert (await w.ask(kind="pay", body=b"second", X_Call_Id="one"))[0] == 409
@@ -345,7 +345,7 @@
     # Guards rule 2: a 503 says that trying again is harmless, and the other one may have run.
     async def scene() -> None:
         async with world(lambda *_: None) as w:
-            _, writer = await asyncio.open_connection(*w.sidecar.frontend.address)
+            _, writer = await w.connect()
             writer.write(request("pay", body=b"first", X_Call_Id="one"))
             await until(w.sent)
             monkeypatch.setattr(Frontend, "_is_swamped", lambda _: True)
@@ -359,7 +359,7 @@
 def test_a_head_request_gets_no_body() -> None:
     async def scene() -> None:
         async with world(served) as w:
-            reader, writer = await asyncio.open_connection(*w.sidecar.frontend.address)
+            reader, writer = await w.connect()
             writer.write(request(path="/elsewhere", method="HEAD"))
             got = await asyncio.wait_for(reader.read(), PATIENCE_S)
             assert got.startswith(b"HTTP/1.1 404 ") and got.endswith(b"\r\n\r\n")
@@ -381,7 +381,7 @@
 def test_a_connection_that_says_no_more_is_ended(said: bytes, heard: bytes) -> None:
     async def scene() -> None:
         async with world(served) as w:
-            reader, writer = await asyncio.open_connection(*w.sidecar.frontend.address)
+            reader, writer = await w.connect()
             writer.write(said)
             assert (await asyncio.wait_for(reader.read(), PATIENCE_S)).startswith(heard)
             await until(lambda: not w.sidecar.frontend.connections)
@@ -394,7 +394,7 @@
 def test_what_can_t_be_read_behind_a_held_request_ends_both(behind: bytes) -> None:
     async def scene() -> None:
         async with world(lambda *_: None) as w:
-            reader, writer = await asyncio.open_connection(*w.sidecar.frontend.address)
+            reader, writer = await w.connect()
             writer.write(request("pay", body=b"held"))
             await until(w.sent)
             writer.write(behind)
@@ -442,7 +442,7 @@
         async with world(served, sockets=88) as w:
             readers = []
             for number in range(8):
-                reader, writer = await asyncio.open_connection(*w.sidecar.frontend.address)
+                reader, writer = await w.connect()
                 writer.write(request(X_Call_Id=f"{number}"))
                 assert (await read_answer(reader))[0] == 200
                 readers.append((reader, writer))
--- a/tests/test_registry_crossings.py
+++ b/tests/test_registry_crossings.py
@@ -50,7 +50,7 @@
     first.script = hung
     before = len(first.requests)
     for number in range(200):
-        reader, writer = await asyncio.open_connection(*w.sidecar.frontend.address)
+        reader, writer = await w.connect()
         writer.write(request("pay", body=b"held", budget="500", X_Call_Id=f"held-{number}"))
         await until(partial(has_sent, w, len(w.sent()) + 1))
         if len(first.requests) > before:
--- a/tests/test_request_crossings.py
+++ b/tests/test_request_crossings.py
@@ -137,6 +137,14 @@
 # -- A request in single bytes x a drain, x the limit for bad peers
 
 
+async def rested(w: World) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """A connection that has carried a request and is at rest."""
+    reader, writer = await w.connect()
+    writer.write(request(X_Call_Id="earlier"))
+    assert (await read_answer(reader))[0] == 200
+    return reader, writer
+
+
 async def send_bytes(writer: asyncio.StreamWriter, data: bytes) -> None:
     """Send byte by byte; the event loop reads each by itself."""
     for index in range(len(data)):
@@ -155,10 +163,7 @@
 ) -> None:
     async def scene() -> None:
         async with world(served, served) as w:
-            reader, writer = await asyncio.open_connection(*w.sidecar.frontend.address)
-            if used:
-                writer.write(request())
-                assert (await read_answer(reader))[0] == 200
+            reader, writer = await (rested(w) if used else w.connect())
             before = len(w.servers[0].requests)
             drained = w.sidecar._upstream._endpoints["s-0"]
             for number in range(4):
@@ -182,10 +187,7 @@
 def test_a_request_in_single_bytes_crosses_sigterm_and_gets_its_answer(cut: int, used: bool) -> None:
     async def scene() -> None:
         async with world(served) as w:
-            reader, writer = await asyncio.open_connection(*w.sidecar.frontend.address)
-            if used:
-                writer.write(request())
-                assert (await read_answer(reader))[0] == 200
+            reader, writer = await (rested(w) if used else w.connect())
             data = in_pieces("begun")
             await send_bytes(writer, data[:cut])
             w.stop.set()
@@ -206,10 +208,7 @@
 ) -> None:
     async def scene() -> None:
         async with world(served) as w:
-            reader, writer = await asyncio.open_connection(*w.sidecar.frontend.address)
-            if used:
-                writer.write(request())
-                assert (await read_answer(reader))[0] == 200
+            reader, writer = await (rested(w) if used else w.connect())
             data = in_pieces("slow")
             head = data.index(b"\r\n\r\n") + 4 if whole_head else 1
             began = now_s()
@@ -234,18 +233,10 @@
 # -- SIGTERM x what clients go on sending
 
 
-async def rested(w: World) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
-    """A connection that has carried a request and is at rest."""
-    reader, writer = await asyncio.open_connection(*w.sidecar.frontend.address)
-    writer.write(request(X_Call_Id="earlier"))
-    assert (await read_answer(reader))[0] == 200
-    return reader, writer
-
-
 async def opened(w: World) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
     """A connection that has carried nothing yet."""
     before = len(w.sidecar.frontend.connections)
-    streams = await asyncio.open_connection(*w.sidecar.frontend.address)
+    streams = await w.connect()
     await until(lambda: len(w.sidecar.frontend.connections) > before)
     return streams
 
