--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -507,6 +507,8 @@
                 return frontend._most_busy == 32
 
             await until(lags)
+            swept = frontend._sweep_due
+            await until(lambda: frontend._sweep_due > swept)  # it has looked since the last client came
             status, _, body = await w.ask(kind="pay", body=b"x")
             assert (status, body) == (200, b"served")
             # What has begun to come does count.
