--- a/tests/test_registry_crossings.py
+++ b/tests/test_registry_crossings.py
@@ -19,6 +19,7 @@
 TOLD_S = 6.0  # after a watch fell silent, or discovery has a change and can be reached
 RELOADED_S = 4.0  # after SIGHUP, what discovery's new place has counts as told
 RULES = {"ask_within_us": 60 * S}
+MODES = ("on_request", "pushed")  # how discovery tells, by the settings
 
 
 async def gone_within(w: World, limit_s: float, began: float) -> None:
@@ -63,14 +64,15 @@
 # -- A reload x a drain
 
 
+@pytest.mark.parametrize("mode", MODES)
 @pytest.mark.parametrize("reload_first", [True, False])
 def test_a_drain_is_applied_in_time_where_a_reload_moves_discovery(
-    reload_first: bool, service: Callable[[], Service]
+    reload_first: bool, mode: str, service: Callable[[], Service]
 ) -> None:
     async def scene() -> None:
         former, latter = service(), service()
         await latter.start()
-        async with world(hung, served, service=former, rules=RULES) as w:
+        async with world(hung, served, service=former, rules=RULES, discovery=mode) as w:
             reader, writer = await hold_at_first(w)
             leaving = w.servers[0].entry(status="leaving")
             if not reload_first:
@@ -124,14 +126,15 @@
 # -- A silence that begins late
 
 
+@pytest.mark.parametrize("mode", MODES)
 @pytest.mark.parametrize("missed_after_s", [0.0, 1.0, 2.4, 3.9, 5.0])
 @pytest.mark.parametrize("open_for_s", [0.0, 1.5, 3.1])
 def test_a_change_missed_by_a_watch_that_falls_silent_after_telling_others_is_applied_in_time(
-    open_for_s: float, missed_after_s: float, service: Callable[[], Service]
+    open_for_s: float, missed_after_s: float, mode: str, service: Callable[[], Service]
 ) -> None:
     async def scene() -> None:
         there = service()
-        async with world(served, served, service=there, rules=RULES) as w:
+        async with world(served, served, service=there, rules=RULES, discovery=mode) as w:
             weight = 1.0
             for _ in range(3):
                 await pass_s(2.0)
@@ -235,12 +238,15 @@
         return answer(200, json.dumps(told, indent=2).encode())
 
 
+@pytest.mark.parametrize("mode", MODES)
 @pytest.mark.parametrize("how", ["reset", "503", "half an answer", "end"])
-def test_a_watch_ends_instead_of_telling_and_the_whole_list_leaves_out_what_drains(how: str) -> None:
+def test_a_watch_ends_instead_of_telling_and_the_whole_list_leaves_out_what_drains(
+    how: str, mode: str
+) -> None:
     async def scene() -> None:
         there = EndingService()
         there.how = how
-        async with world(served, served, service=there, rules=RULES) as w:
+        async with world(served, served, service=there, rules=RULES, discovery=mode) as w:
             there.listed = [each.entry() for each in w.servers]
             await until(partial(there.called, 2))  # a watch has ended by its time, and the next is out
             await there.change(w.servers[0].entry(status="leaving"))
