--- a/tests/scale/test_latency.py
+++ b/tests/scale/test_latency.py
@@ -3,11 +3,15 @@
 from __future__ import annotations
 
 import gc
+import signal
+import subprocess
+import sys
 from collections.abc import Sequence
 from pathlib import Path
 from typing import Any
 
 import numpy as np
+import psutil
 import pytest
 
 from scale.errors import ExperimentError
@@ -20,6 +24,7 @@
 from scale.results import Measurement, ResultWriter, read_results
 from scale.standins.server import ServedBody
 
+PATIENCE_S = 60.0
 EXPERIMENTS = Path(__file__).resolve().parents[2] / "scale" / "experiments"
 GIVEN: dict[str, Any] = {
     "name": "a",
@@ -108,6 +113,16 @@
     assert sum(parts.values()) == pytest.approx([3_000] * 5, abs=0.1)
 
 
+def test_collection_within_a_registry_answer_counts_once() -> None:
+    calls = served_calls(call(0.0, 2_000, 5_000))
+    answer, collection = (0.003, 0.0045, 0.0015), (0.0035, 0.004, 0.0005)
+    trace = Trace({"callbacks": [answer], "collections": [collection], "registry": [answer]})
+    parts = tell_sources_apart(calls, trace).parts()
+    assert parts["garbage collection"] == pytest.approx([500], abs=0.1)
+    assert parts["registry answers"] == pytest.approx([1_000], abs=0.1)
+    assert parts["own work"] == pytest.approx([0], abs=0.1)
+
+
 def test_work_on_a_new_connection_is_compared_with_its_like() -> None:
     calls = served_calls(call(0, 2_000, 5_000, connection_call=1), call(10, 2_000, 5_000))
     trace = Trace({"callbacks": [(0.0, 0.0008, 0.0008)], "collections": [], "registry": []})
@@ -153,3 +168,32 @@
     assert traced["garbage collections"] == 0 and traced["registry calls timed"] > 0
     sources = [each for each in measurements if each.metric == "mean time of all calls"]
     assert len({each.labels["source"] for each in sources}) == len(sources) == 6
+
+
+def test_interrupted_run_ends_its_processes(tmp_path: Path) -> None:
+    experiment = EXPERIMENTS / "latency-small.toml"
+    command = [
+        sys.executable,
+        "-m",
+        "scale",
+        "run",
+        str(experiment),
+        "--results",
+        str(tmp_path / "out.jsonl"),
+    ]
+    run = subprocess.Popen(command, stderr=subprocess.PIPE)
+    started: list[psutil.Process] = []
+    try:
+        assert run.stderr is not None
+        while b"point started" not in run.stderr.readline():
+            assert run.poll() is None
+        while len(started) < 2:  # the servers and the sidecar
+            assert run.poll() is None
+            started = psutil.Process(run.pid).children()
+        run.send_signal(signal.SIGINT)
+        assert run.wait(PATIENCE_S) != 0
+        assert not any(each.is_running() for each in started)
+        run.stderr.close()
+    finally:
+        run.kill()
+        run.wait()
