Hold the port that a sidecar is told to listen at

A port that the kernel had picked and that was let go was taken by another program's connection before the sidecar listened there: one of twelve points of a latency run ended so ('Address already in use'). A socket now stays bound to it.

--- a/scale/demo.py
+++ b/scale/demo.py
@@ -20,11 +20,11 @@
     poisson_arrivals,
     run_open_loop,
 )
+from scale.ports import ReservedAddress
 from scale.processes import ManagedProcess, ProcessGroup
 from scale.sidecar_process import (
     await_ready,
     format_address,
-    free_address,
     log_path,
     sample_config,
     start_sidecar,
@@ -158,16 +158,18 @@
 
 def run_demo(duration_s: float, rate_per_s: float, seed: int, say: Say) -> DemoOutcome:
     """Run the demonstration; raise SidecarError if the sidecar does not start."""
-    with tempfile.TemporaryDirectory() as folder, ProcessGroup() as group:
-        return asyncio.run(_Demo(Path(folder), group, seed, say).run(duration_s, rate_per_s))
+    with tempfile.TemporaryDirectory() as folder, ReservedAddress() as listen, ProcessGroup() as group:
+        demo = _Demo(Path(folder), group, listen.address, seed, say)
+        return asyncio.run(demo.run(duration_s, rate_per_s))
 
 
 class _Demo:
     """The parts of one run."""
 
-    def __init__(self, folder: Path, group: ProcessGroup, seed: int, say: Say) -> None:
+    def __init__(self, folder: Path, group: ProcessGroup, listen: Address, seed: int, say: Say) -> None:
         self._folder = folder
         self._group = group
+        self._listen = listen
         self._seed = seed
         self._say = say
         self._servers = [
@@ -180,7 +182,7 @@
 
     async def run(self, duration_s: float, rate_per_s: float) -> DemoOutcome:
         discovery = await self._start_standins()
-        listen = free_address()
+        listen = self._listen
         sidecar = start_sidecar(self._group, sample_config(listen, discovery), self._folder)
         self._say(f"sidecar started: process {sidecar.pid}, listening at {format_address(listen)}")
         await asyncio.to_thread(await_ready, sidecar, listen, self._folder)
--- a/scale/latency/run.py
+++ b/scale/latency/run.py
@@ -39,6 +39,7 @@
     poisson_arrivals,
     run_open_loop,
 )
+from scale.ports import ReservedAddress
 from scale.processes import ManagedProcess, ProcessGroup, Usage
 from scale.results import Label, ResultWriter
 from scale.sidecar_process import (
@@ -46,7 +47,6 @@
     SidecarError,
     await_ready,
     format_address,
-    free_address,
     sample_config,
     start_sidecar,
 )
@@ -89,7 +89,7 @@
 
 def measure_point(experiment: LatencyExperiment, point: LatencyPoint) -> PointOutcome:
     """Start the processes of one point, call, and end them."""
-    with tempfile.TemporaryDirectory() as folder, ProcessGroup() as group:
+    with tempfile.TemporaryDirectory() as folder, ReservedAddress() as listen, ProcessGroup() as group:
         command = python_command(
             "scale.latency.servers",
             *("--servers", point.servers),
@@ -98,7 +98,8 @@
         )
         servers = CommandClient(group.start(command, stdout=subprocess.PIPE).popen)
         try:
-            return asyncio.run(_PointRun(experiment, point, Path(folder), group, servers).run())
+            run = _PointRun(experiment, point, Path(folder), group, listen.address, servers)
+            return asyncio.run(run.run())
         finally:
             servers.close()
 
@@ -112,12 +113,14 @@
         point: LatencyPoint,
         folder: Path,
         group: ProcessGroup,
+        listen: Address,
         servers: CommandClient,
     ) -> None:
         self._experiment = experiment
         self._point = point
         self._folder = folder
         self._group = group
+        self._listen = listen
         self._servers = servers
         self._trace_path = folder / "trace.json"
         self._addresses = servers.ready.addresses
@@ -131,7 +134,7 @@
 
     async def run(self) -> PointOutcome:
         registry = RegistryServer(self._change_log)
-        listen = free_address()
+        listen = self._listen
         sidecar = self._start_sidecar(listen, (await registry.start())[0])
         await asyncio.to_thread(await_ready, sidecar, listen, self._folder)
         through_sidecar = HttpClient(listen)
--- /dev/null
+++ b/scale/ports.py
@@ -0,0 +1,32 @@
+"""Loopback ports for programs that must be told where to listen."""
+
+from __future__ import annotations
+
+import socket
+from types import TracebackType
+from typing import Self
+
+from scale.load import Address
+
+
+class ReservedAddress:
+    """A loopback address whose port the kernel picked, held until the block is left.
+
+    A socket stays bound to it without listening: nobody else is given the port meanwhile, not for outgoing
+    connections either, while a program that binds with SO_REUSEADDR, as servers do, can listen there.  Until
+    one does, connections are refused.
+    """
+
+    def __init__(self) -> None:
+        self._socket = socket.socket()
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._socket.bind(("127.0.0.1", 0))
+        self.address: Address = self._socket.getsockname()
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(
+        self, kind: type[BaseException] | None, error: BaseException | None, trace: TracebackType | None
+    ) -> None:
+        self._socket.close()
--- a/scale/sidecar_process.py
+++ b/scale/sidecar_process.py
@@ -5,7 +5,6 @@
 import http.client
 import json
 import os
-import socket
 import sys
 import time
 from collections.abc import Mapping, Sequence
@@ -39,14 +38,6 @@
     return f"{address[0]}:{address[1]}"
 
 
-def free_address() -> Address:
-    """A loopback address whose port the kernel has just picked; nothing else is likely to take it soon."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        host, port = probe.getsockname()
-    return host, port
-
-
 def start_sidecar(
     group: ProcessGroup, config: Mapping[str, Any], folder: Path, program: Sequence[str] = PROGRAM
 ) -> ManagedProcess:
--- a/tests/scale/test_demo.py
+++ b/tests/scale/test_demo.py
@@ -14,12 +14,12 @@
 
 from scale.demo import DRAINED, SERVERS, DemoOutcome, Phase, ServerOutcome, format_outcome
 from scale.load import NO_ANSWER, CallResult
+from scale.ports import ReservedAddress
 from scale.processes import ProcessGroup
 from scale.sidecar_process import (
     SAMPLE_CONFIG,
     SidecarError,
     await_ready,
-    free_address,
     sample_config,
     start_sidecar,
 )
@@ -93,19 +93,18 @@
 
 
 def test_program_starts_from_the_sample_configuration(tmp_path: Path) -> None:
-    listen = free_address()
-    with ProcessGroup() as group:
-        sidecar = start_sidecar(group, sample_config(listen, free_address()), tmp_path)
-        await_ready(sidecar, listen, tmp_path)
+    with ReservedAddress() as listen, ReservedAddress() as nowhere, ProcessGroup() as group:
+        sidecar = start_sidecar(group, sample_config(listen.address, nowhere.address), tmp_path)
+        await_ready(sidecar, listen.address, tmp_path)
     assert sidecar.popen.returncode == 0
 
 
 def test_sidecar_that_does_not_start_is_reported_with_its_last_line(tmp_path: Path) -> None:
-    listen = free_address()
-    with ProcessGroup() as group:
-        sidecar = start_sidecar(group, sample_config(listen, listen) | {"seed": 7}, tmp_path)
+    with ReservedAddress() as listen, ProcessGroup() as group:
+        address = listen.address
+        sidecar = start_sidecar(group, sample_config(address, address) | {"seed": 7}, tmp_path)
         with pytest.raises(SidecarError, match="seed: hex digits are needed"):
-            await_ready(sidecar, listen, tmp_path)
+            await_ready(sidecar, address, tmp_path)
 
 
 def test_sample_configuration_is_taken_as_it_stands() -> None:
