--- a/scale/callgraph/experiment.py
+++ b/scale/callgraph/experiment.py
@@ -64,6 +64,15 @@
     repeatable: bool = True  # whether an attempt that may have run may be repeated
 
 
+class SlowStart(Part):
+    """The rules for servers that have just started, as the sidecars' settings state them."""
+
+    from_share: float = Field(default=0.3, gt=0.0, le=1.0)  # of its capacity, when a server starts
+    duration_s: float = Field(default=4.0, ge=0.0)
+    overload_multiple: float = Field(default=4.0, gt=0.0)
+    overload_window_s: float = Field(default=1.0, gt=0.0)
+
+
 class Fault(Part):
     """A fault with its begin and end, in seconds since the start of the run."""
 
@@ -96,6 +105,7 @@
     warm_up_s: float = Field(default=2.0, ge=0.0)  # not measured
     servers: Servers = Servers()
     calls: Calls = Calls()
+    slow_start: SlowStart = SlowStart()
     delays: Delays = Delays()
     fault: Fault = Fault()
 
--- a/scale/callgraph/graph.py
+++ b/scale/callgraph/graph.py
@@ -7,8 +7,8 @@
 
 import numpy as np
 
-from scale.callgraph.experiment import CallGraphExperiment, PolicyName
-from scale.callgraph.loop import EventLoop
+from scale.callgraph.experiment import CallGraphExperiment, PolicyName, SlowStart
+from scale.callgraph.loop import MICROSECONDS, EventLoop
 from scale.callgraph.network import Location, Network
 from scale.callgraph.policies import make_policy
 from scale.callgraph.server import Server
@@ -19,6 +19,7 @@
     Idempotency,
     Limits,
     RegistryUpdateKind,
+    Rules,
     ServiceClass,
     Settings,
 )
@@ -132,5 +133,15 @@
         zone=location.zone,
         tick_us=_TICK_US,
         discovery=Discovery.PUSHED,
+        rules=_rules(experiment.slow_start),
         limits=Limits(max_attempts=calls.max_attempts, allow_cancel=True, dial_timeout_us=_DIAL_TIMEOUT_US),
     )
+
+
+def _rules(slow_start: SlowStart) -> Rules:
+    return Rules(
+        slow_start_from=slow_start.from_share,
+        slow_start_us=int(slow_start.duration_s * MICROSECONDS),
+        overload_multiple=slow_start.overload_multiple,
+        overload_window_us=int(slow_start.overload_window_s * MICROSECONDS),
+    )
