--- /dev/null
+++ b/scale/cli.py
@@ -0,0 +1,114 @@
+"""The rig's command line: `python -m scale`."""
+
+from __future__ import annotations
+
+import signal
+import sys
+from pathlib import Path
+from types import FrameType
+from typing import Annotated
+
+import structlog
+import typer
+
+from scale.demo import format_outcome, run_demo
+from scale.errors import ScaleError
+from scale.kinds import load_experiment, run_experiment
+from scale.logs import configure_logs
+from scale.report import format_table, write_plots
+from scale.results import ResultWriter, read_results
+from scale.slopes import fit_slopes, format_slopes
+from scale.suite import EXPERIMENTS, LIMIT_S, RESULTS, find_experiments, run_suite
+
+EXIT_FAULT = 1
+EXIT_BAD_INPUT = 2
+
+app = typer.Typer(no_args_is_help=True, add_completion=False, help="Measure the sidecar at fleet size.")
+log = structlog.get_logger()
+
+
+@app.callback()
+def common(verbose: Annotated[bool, typer.Option(help="Log from debug level on.")] = False) -> None:
+    """Set up the logs for every command."""
+    configure_logs(verbose)
+
+
+@app.command()
+def run(
+    experiments: Annotated[list[Path], typer.Argument(help="Experiment files (TOML).")],
+    results: Annotated[Path, typer.Option(help="File that the figures are appended to, as JSON lines.")],
+) -> None:
+    """Run experiments one after another."""
+    checked = [load_experiment(path) for path in experiments]
+    for experiment in checked:
+        log.info("experiment started", experiment=experiment.name, kind=experiment.kind, seed=experiment.seed)
+        with ResultWriter(results, experiment) as writer:
+            run_experiment(experiment, writer)
+        log.info("experiment ended", experiment=experiment.name, results=str(results))
+
+
+@app.command()
+def suite(
+    results: Annotated[Path, typer.Option(help="Folder of the results, one file each.")] = RESULTS,
+    experiments: Annotated[Path, typer.Option(help="Folder of the experiment files.")] = EXPERIMENTS,
+) -> None:
+    """Run the whole set of experiments, without the small ones for tests."""
+    took_s = run_suite(find_experiments(experiments), results)
+    note = log.warning if took_s > LIMIT_S else log.info
+    note("suite ended", took_s=round(took_s, 1), limit_s=LIMIT_S, results=str(results))
+
+
+@app.command()
+def report(
+    results: Annotated[list[Path], typer.Argument(help="Results files (JSON lines).")],
+    plots: Annotated[Path | None, typer.Option(help="Folder for plots (PNG).")] = None,
+    against: Annotated[str, typer.Option(help="Label that plots have on their horizontal axis.")] = "servers",
+) -> None:
+    """Print results as a table, and plot them."""
+    measurements = read_results(results)
+    typer.echo(format_table(measurements))
+    if plots is not None:
+        for path in write_plots(measurements, against, plots):
+            log.info("plot written", path=str(path))
+
+
+@app.command()
+def slopes(
+    results: Annotated[list[Path], typer.Argument(help="Results files (JSON lines).")],
+    against: Annotated[str, typer.Option(help="Label that was varied.")] = "servers",
+    at: Annotated[float, typer.Option(help="Size at which each line is worked out.")] = 4_900.0,
+) -> None:
+    """Fit a line through each metric against a size, and work it out at another size."""
+    typer.echo(format_slopes(fit_slopes(read_results(results), against), at))
+
+
+@app.command()
+def demo(
+    duration: Annotated[float, typer.Option(min=3.0, max=60.0, help="Seconds of calls.")] = 6.0,
+    rate: Annotated[float, typer.Option(min=10.0, max=500.0, help="Calls a second.")] = 100.0,
+    seed: Annotated[int, typer.Option(min=0, help="Seed of arrivals and service times.")] = 1,
+) -> None:
+    """Show one real sidecar while a server is drained and another killed; exit code 0 if all went well."""
+    outcome = run_demo(duration, rate, seed, typer.echo)
+    typer.echo(format_outcome(outcome))
+    faults = outcome.faults()
+    for fault in faults:
+        typer.echo(f"FAULT: {fault}")
+    if faults:
+        raise typer.Exit(EXIT_FAULT)
+    typer.echo("all went as it should")
+
+
+def _interrupt(number: int, frame: FrameType | None) -> None:
+    raise KeyboardInterrupt
+
+
+def main() -> int:
+    """Run the command; bad input is one line on standard error and exit code 2."""
+    signal.signal(signal.SIGTERM, _interrupt)
+    try:
+        app()
+    except ScaleError as error:
+        print(f"scale: {error}".replace("\n", " "), file=sys.stderr)
+        return EXIT_BAD_INPUT
+    return 0
