Look for more room with one request at a time only

Cause: a sidecar with much traffic gets quick answers all the time, if only to light requests, and each let one more request in past the limit. Only a sidecar that has nothing else out needs that to find back.

Change: a quick answer admits the next request only while no other attempt counts as load. No test of its own: the recovery tests pass with it and without.

--- a/topazbank/policy/admission.py
+++ b/topazbank/policy/admission.py
@@ -66,7 +66,7 @@
         if self._probing:
             request.priority = self._priority(traffic)
             return False  # probes will tell
-        if self._found_room:
+        if self._found_room and not self._context.load.total():
             return False
         rate = self._arrivals.per_us(self._context.now)
         if max(rate * self._context.longest_target_us, self._context.load.total()) < FEW_ACTIVE / 2:
