Add an experiment on configuration that is replaced while sidecars run

SIGHUP moves discovery and nothing else, and nothing measured that. The kind 'configuration' replaces the files of real sidecars at once and asks each one's own port when requests of an added class are taken; it counts what becomes of requests in flight, of a bad file and of one taken back, and meters a reload's CPU and registry bytes against as long a time without reloads. All endpoints of the registry stand-in may now have one address, so that a single server stand-in serves whatever list.

--- /dev/null
+++ b/scale/configuration/run.py
@@ -0,0 +1,196 @@
+"""Runs an experiment on configuration, point by point."""
+
+from __future__ import annotations
+
+import asyncio
+import subprocess
+import tempfile
+import time
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass
+from http import HTTPStatus
+from pathlib import Path
+
+import structlog
+
+from scale.commands import CommandClient, python_command
+from scale.configuration.experiment import ConfigurationExperiment
+from scale.configuration.sidecar import KINDS, ConfiguredSidecar
+from scale.control.delays import new_histogram, record_seconds, seconds_at
+from scale.errors import ScaleError
+from scale.processes import ManagedProcess, ProcessGroup
+from scale.results import Label, ResultWriter
+from scale.sidecar_process import format_address
+from scale.standins.registry_process import Counts, GetCounts
+from scale.standins.server import ServerStandin
+
+PERCENTILES = (50.0, 99.0, 100.0)
+_LOADED_WITHIN_S = 60.0
+_LOOK_EVERY_S = 0.05
+_HELD_S = 0.8  # how long the server holds a request that is in flight while its file is replaced
+_BAD_FILE = b'{"settings": {"lanes": []}}'
+
+log = structlog.get_logger()
+
+
+class ConfigurationTimeoutError(ScaleError):
+    """The sidecars did not come to hold the registry's list, or to send on what they took, in time."""
+
+
+def run_configuration(experiment: ConfigurationExperiment, writer: ResultWriter) -> None:
+    """Measure each size."""
+    for servers in experiment.servers:
+        for sidecars in experiment.sidecars:
+            asyncio.run(_run_point(experiment, writer, servers, sidecars))
+
+
+async def _run_point(
+    experiment: ConfigurationExperiment, writer: ResultWriter, servers: int, sidecars: int
+) -> None:
+    with ProcessGroup() as group, tempfile.TemporaryDirectory() as folder:
+        server = ServerStandin("s-0", lambda: 0.0)
+        await server.start()
+        registry = group.start(_registry_command(experiment, servers, server), stdout=subprocess.PIPE)
+        client = CommandClient(registry.popen)
+        discovery = client.ready.addresses[0]
+        started = [
+            ConfiguredSidecar(group, Path(folder) / f"n{index}", discovery, experiment.seed + index)
+            for index in range(sidecars)
+        ]
+        for each in started:
+            each.await_ready()
+        point = Point(experiment, writer, server, client, started, {"servers": servers, "sidecars": sidecars})
+        try:
+            await point.run()
+        finally:
+            for each in started:
+                each.close()
+            server.close()
+    log.info("point measured", servers=servers, sidecars=sidecars)
+
+
+def _registry_command(experiment: ConfigurationExperiment, servers: int, server: ServerStandin) -> list[str]:
+    return python_command(
+        "scale.standins.registry_process",
+        *("--servers", servers, "--seed", experiment.seed, "--address", format_address(server.address)),
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class Reading:
+    """What has been used by a moment."""
+
+    sidecar_cpu_s: float  # of all sidecars together
+    counts: Counts
+
+    def http_bytes(self) -> int:
+        """What went between the registry and all sidecars."""
+        return self.counts.bytes_in + self.counts.bytes_out
+
+
+@dataclass(slots=True)
+class Point:
+    """One size of an experiment."""
+
+    experiment: ConfigurationExperiment
+    writer: ResultWriter
+    server: ServerStandin
+    registry: CommandClient
+    sidecars: list[ConfiguredSidecar]
+    labels: Mapping[str, Label]
+    version: int = 1  # of the configuration that was written last
+
+    async def run(self) -> None:
+        """Wait for the list, then measure changes, a bad file, one taken back, and what reloads cost."""
+        await self._until(lambda: self._counts().watching >= len(self.sidecars))
+        for _ in range(self.experiment.changes):
+            await self._measure_change()
+        await self._measure_bad_file()
+        await self._measure_taken_back()
+        await self._measure_cost()
+
+    async def _until(self, condition: Callable[[], bool]) -> None:
+        give_up_at = time.monotonic() + _LOADED_WITHIN_S
+        while not condition():
+            if time.monotonic() > give_up_at:
+                raise ConfigurationTimeoutError("sidecars: not all of them were under way within 60 s")
+            await asyncio.sleep(_LOOK_EVERY_S)
+
+    def _counts(self) -> Counts:
+        return self.registry.ask(GetCounts(), Counts)
+
+    def _replace(self, added_class: str) -> list[float]:
+        """Replace all files by a next version; return the moments."""
+        self.version += 1
+        return [each.replace_file(each.configuration(self.version, added_class)) for each in self.sidecars]
+
+    async def _watch(self, phase: str, added_class: str, replaced: Sequence[float]) -> None:
+        """Write the times until requests of an added class were taken."""
+        within_s = self.experiment.duration_s
+        waits = (
+            sidecar.in_force_after(added_class, at_s, within_s)
+            for sidecar, at_s in zip(self.sidecars, replaced, strict=True)
+        )
+        delays = [delay for delay in await asyncio.gather(*waits) if delay is not None]
+        share = len(delays) / len(self.sidecars)
+        self._add("configuration", f"in force within {within_s:g} s", share, "share", phase)
+        histogram = new_histogram()
+        for delay in delays:
+            record_seconds(histogram, delay)
+        for percentile in PERCENTILES if delays else ():
+            value = seconds_at(histogram, percentile)
+            self._add("configuration", f"in force, {percentile:g} in 100", value, "s", phase)
+
+    async def _measure_change(self) -> None:
+        """Replace all files while each sidecar has a request of each idempotency in flight."""
+        held = len(self.sidecars) * len(KINDS)
+        before = self.server.counters.requests
+        self.server.service_time_s = lambda: _HELD_S
+        in_flight = asyncio.gather(*(each.call(kind) for each in self.sidecars for kind in KINDS))
+        await self._until(lambda: self.server.counters.requests >= before + held)
+        self.server.service_time_s = lambda: 0.0
+        added_class = f"added-{self.version + 1}"
+        await self._watch("change", added_class, self._replace(added_class))
+        results = await in_flight
+        served = sum(each.status == HTTPStatus.OK for each in results)
+        self._add("request in flight", "served", served / held, "share", "change")
+
+    async def _measure_bad_file(self) -> None:
+        """Replace all files by one that cannot be used: what was in force has to stay so."""
+        for sidecar in self.sidecars:
+            sidecar.replace_file(_BAD_FILE)
+        await asyncio.sleep(self.experiment.reload_interval_s)
+        taken = [await each.knows_class(KINDS[0]) for each in self.sidecars]
+        self._add("configuration", "classes as before", sum(taken) / len(taken), "share", "bad file")
+
+    async def _measure_taken_back(self) -> None:
+        """Put what an earlier version said into force again, as a newer version."""
+        await self._watch("taken back", "added-2", self._replace("added-2"))
+
+    async def _measure_cost(self) -> None:
+        """Compare a time with reloads, no request beside them, with as long a time without."""
+        reloads, interval_s = self.experiment.metered_reloads, self.experiment.reload_interval_s
+        start = self._read()
+        await asyncio.sleep(reloads * interval_s)
+        idle = self._read()
+        for _ in range(reloads):
+            self._replace(f"metered-{self.version + 1}")
+            await asyncio.sleep(interval_s)
+        end = self._read()
+        each = reloads * len(self.sidecars)
+        cpu_s = (end.sidecar_cpu_s - idle.sidecar_cpu_s) - (idle.sidecar_cpu_s - start.sidecar_cpu_s)
+        read = (end.http_bytes() - idle.http_bytes()) - (idle.http_bytes() - start.http_bytes())
+        snapshots = end.counts.snapshots - idle.counts.snapshots
+        self._add("sidecar", "cpu of a reload", cpu_s / each, "s", "metered")
+        self._add("sidecar", "registry bytes of a reload", read / each, "bytes", "metered")
+        self._add("discovery", "whole lists for a reload", snapshots / each, "answers", "metered")
+
+    def _read(self) -> Reading:
+        return Reading(sum(_cpu_s(each.process) for each in self.sidecars), self._counts())
+
+    def _add(self, role: str, metric: str, value: float, unit: str, phase: str) -> None:
+        self.writer.add(role, metric, value, unit, {**self.labels, "phase": phase})
+
+
+def _cpu_s(process: ManagedProcess) -> float:
+    return process.usage().cpu_s
--- /dev/null
+++ b/scale/configuration/sidecar.py
@@ -0,0 +1,84 @@
+"""A real sidecar of these experiments: its file can be replaced, and its settings are seen from outside."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import time
+from http import HTTPStatus
+from pathlib import Path
+from typing import Any
+
+from scale.load import Address, CallResult, HttpClient, format_call
+from scale.processes import ProcessGroup
+from scale.sidecar_process import await_ready, free_address, sample_config, start_sidecar
+
+KINDS = ("read", "update", "send")  # classes of the sample configuration, one for each idempotency
+_BUDGET_S = 1.5
+_CALL_LIMIT_S = 3.0
+_FIRST_WAIT_S = 0.002
+_WAIT_GROWTH = 1.25  # so that a delay is known to a quarter of itself, by few requests
+_WAIT_MOST_S = 0.25
+
+
+class ConfiguredSidecar:
+    """One `python -m topazbank` process."""
+
+    def __init__(self, group: ProcessGroup, folder: Path, discovery: Address, seed: int) -> None:
+        folder.mkdir()
+        self._folder = folder
+        self.listen = free_address()
+        self._config = sample_config(self.listen, discovery) | {"seed": f"{seed:x}", "version": 1}
+        self.process = start_sidecar(group, self._config, folder)
+        self._client = HttpClient(self.listen)
+        self._calls = 0
+
+    def await_ready(self) -> None:
+        """Wait until it serves; raise SidecarError if it does not start."""
+        await_ready(self.process, self.listen, self._folder)
+
+    def configuration(self, version: int, added_class: str) -> bytes:
+        """A configuration with one class more than the sample's, safe to repeat."""
+        settings: dict[str, Any] = self._config["settings"]
+        lanes = [*settings["lanes"], settings["lanes"][0] | {"name": added_class}]
+        changed = self._config | {"version": version, "settings": settings | {"lanes": lanes}}
+        return json.dumps(changed).encode()
+
+    def replace_file(self, content: bytes) -> float:
+        """Replace its file in one step, signal it, and return the moment before that (monotonic clock)."""
+        path = self._folder / "config.json"
+        temporary = path.with_suffix(".new")
+        replaced_at = time.monotonic()
+        temporary.write_bytes(content)
+        os.replace(temporary, path)
+        self.process.popen.send_signal(signal.SIGHUP)
+        return replaced_at
+
+    async def call(self, service_class: str) -> CallResult:
+        """Make a request of a class."""
+        self._calls += 1
+        ident = f"{self.process.pid:08x}{self._calls:08x}"
+        data = format_call(service_class, ident, _BUDGET_S, ident if service_class == "update" else None)
+        if service_class == "send":
+            data = data.replace(b"GET ", b"POST ", 1)
+        return await self._client.call(data, time.monotonic(), _CALL_LIMIT_S)
+
+    async def knows_class(self, service_class: str) -> bool:
+        """Whether it takes requests of a class now: one that it does not know is a bad request."""
+        return (await self.call(service_class)).status != HTTPStatus.BAD_REQUEST
+
+    async def in_force_after(self, service_class: str, since_s: float, within_s: float) -> float | None:
+        """Seconds from a moment until a request of a new class was taken and answered; None: not in time."""
+        wait_s = _FIRST_WAIT_S
+        while time.monotonic() < since_s + within_s:
+            if await self.knows_class(service_class):
+                return time.monotonic() - since_s
+            await asyncio.sleep(wait_s)
+            wait_s = min(wait_s * _WAIT_GROWTH, _WAIT_MOST_S)
+        return None
+
+    def close(self) -> None:
+        """Close the connections to it."""
+        self._client.close()
--- a/scale/kinds.py
+++ b/scale/kinds.py
@@ -9,6 +9,8 @@
 
 from scale.callgraph.experiment import CallGraphExperiment
 from scale.callgraph.run import run_call_graphs
+from scale.configuration.experiment import ConfigurationExperiment
+from scale.configuration.run import run_configuration
 from scale.control.experiment import ControlExperiment
 from scale.control.run import run_control
 from scale.errors import ExperimentError
@@ -26,6 +28,7 @@
 
 KINDS: Mapping[str, ExperimentKind] = {
     "callgraph": ExperimentKind(CallGraphExperiment, run_call_graphs),
+    "configuration": ExperimentKind(ConfigurationExperiment, run_configuration),
     "control": ExperimentKind(ControlExperiment, run_control),
 }
 
--- a/scale/standins/fleet.py
+++ b/scale/standins/fleet.py
@@ -16,13 +16,16 @@
     return f"z{index:02d}"
 
 
-def make_endpoints(count: int, zones: int, seed: int) -> list[Endpoint]:
-    """Endpoints with addresses of their own, in turn in each zone; nothing listens at them."""
+def make_endpoints(count: int, zones: int, seed: int, address: str | None = None) -> list[Endpoint]:
+    """Endpoints in turn in each zone.
+
+    All have one address where it is given; else each has its own, at which nothing listens.
+    """
     names = random.Random(seed).sample(range(2**32), count)
     return [
         Endpoint(
             name=f"s-{name:08x}",
-            address=f"10.{index >> 16}.{index >> 8 & 255}.{index & 255}:{_PORT}",
+            address=address or f"10.{index >> 16}.{index >> 8 & 255}.{index & 255}:{_PORT}",
             zone=zone_name(index % zones),
             type=_SIZES[index % len(_SIZES)],
             group=index // _PER_GROUP,
--- a/scale/standins/registry_process.py
+++ b/scale/standins/registry_process.py
@@ -158,9 +158,11 @@
         return None
 
 
-async def serve(servers: int, zones: int, seed: int, listeners: int, observed: int) -> None:
+async def serve(
+    servers: int, zones: int, seed: int, listeners: int, observed: int, address: str | None
+) -> None:
     """Serve a made-up fleet until the command connection ends."""
-    server = RegistryServer(ChangeLog(make_endpoints(servers, zones, seed)))
+    server = RegistryServer(ChangeLog(make_endpoints(servers, zones, seed, address)))
     addresses = await server.start(listeners + observed, observed)
     try:
         await serve_commands(RegistryProcess(server).handle, addresses)
@@ -174,9 +176,10 @@
     seed: Annotated[int, typer.Option(help="Seed of the endpoints' names.")] = 0,
     listeners: Annotated[int, typer.Option(help="Addresses to listen at.")] = 1,
     observed: Annotated[int, typer.Option(help="Further addresses, each for one sidecar.")] = 0,
+    address: Annotated[str | None, typer.Option(help="Address of all endpoints, host:port.")] = None,
 ) -> None:
     """Run a registry of made-up endpoints on loopback."""
-    asyncio.run(serve(servers, zones, seed, listeners, observed))
+    asyncio.run(serve(servers, zones, seed, listeners, observed, address))
 
 
 if __name__ == "__main__":
