Let no request that an experiment on configuration holds be taken for a late one

The server holds requests for 0.8 s while files are replaced, and the sample's classes promise 0.25 s: the sidecars took that for overload, refused some, and the run waited in vain for them to reach the server. The classes now promise what they give up at, and what ended before the change is counted instead of awaited.

--- a/scale/configuration/run.py
+++ b/scale/configuration/run.py
@@ -18,6 +18,7 @@
 from scale.configuration.sidecar import KINDS, ConfiguredSidecar
 from scale.control.delays import new_histogram, record_seconds, seconds_at
 from scale.errors import ScaleError
+from scale.load import CallResult
 from scale.processes import ManagedProcess, ProcessGroup
 from scale.results import Label, ResultWriter
 from scale.sidecar_process import format_address
@@ -143,17 +144,18 @@
 
     async def _measure_change(self) -> None:
         """Replace all files while each sidecar has a request of each idempotency in flight."""
-        held = len(self.sidecars) * len(KINDS)
-        before = self.server.counters.requests
+        reached = self.server.counters.requests + len(self.sidecars) * len(KINDS)
         self.server.service_time_s = lambda: _HELD_S
-        in_flight = asyncio.gather(*(each.call(kind) for each in self.sidecars for kind in KINDS))
-        await self._until(lambda: self.server.counters.requests >= before + held)
+        in_flight = [asyncio.ensure_future(each.call(kind)) for each in self.sidecars for kind in KINDS]
+        await self._until(lambda: self.server.counters.requests + _ended(in_flight) >= reached)
         self.server.service_time_s = lambda: 0.0
+        ended_before = _ended(in_flight)
         added_class = f"added-{self.version + 1}"
         await self._watch("change", added_class, self._replace(added_class))
-        results = await in_flight
+        results = await asyncio.gather(*in_flight)
         served = sum(each.status == HTTPStatus.OK for each in results)
-        self._add("request in flight", "served", served / held, "share", "change")
+        self._add("request in flight", "ended before the change", ended_before, "requests", "change")
+        self._add("request in flight", "served", served / len(results), "share", "change")
 
     async def _measure_bad_file(self) -> None:
         """Replace all files by one that cannot be used: what was in force has to stay so."""
@@ -192,5 +194,9 @@
         self.writer.add(role, metric, value, unit, {**self.labels, "phase": phase})
 
 
+def _ended(calls: Sequence[asyncio.Future[CallResult]]) -> int:
+    return sum(each.done() for each in calls)
+
+
 def _cpu_s(process: ManagedProcess) -> float:
     return process.usage().cpu_s
--- a/scale/configuration/sidecar.py
+++ b/scale/configuration/sidecar.py
@@ -31,6 +31,8 @@
         self._folder = folder
         self.listen = free_address()
         self._config = sample_config(self.listen, discovery) | {"seed": f"{seed:x}", "version": 1}
+        for each in self._config["settings"]["lanes"]:
+            each["promiseUs"] = each["giveUpUs"]  # requests that are held for the experiment are not late
         self.process = start_sidecar(group, self._config, folder)
         self._client = HttpClient(self.listen)
         self._calls = 0
