Put the whole configuration into force on SIGHUP, by version, and leave discovery be

Cause: a reread configuration moved discovery and did nothing else; settings, limits, classes and tenants held from the start to the end of the process. And each SIGHUP dropped the registry's version, so that every sidecar fetched the whole list anew also where the address had not changed.

The front end, the connections to servers and the driver adopt the settings; a request keeps the class that it came with.

Discovery moves only if its address changed. Else the open watch stands: it is answered with what is new as before, no change can be missed by a signal that says nothing of it, so the whole list need not be fetched. The former wording 'also where it is the same, asked for by name' had no test; a same address is now no news.

--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -161,8 +161,9 @@
 class World:
     """A sidecar in this process, with its servers and discovery."""
 
-    def __init__(self, sidecar: Sidecar, servers: list[FakeServer], discovery: FakeDiscovery) -> None:
-        self.sidecar = sidecar
+    def __init__(self, config: Config, servers: list[FakeServer], discovery: FakeDiscovery) -> None:
+        self.config = config
+        self.sidecar = Sidecar(config)
         self.servers = servers
         self.discovery = discovery
         self.stop = asyncio.Event()
@@ -201,9 +202,8 @@
     await discovery.start()
     given = settings(**{"classes": CLASSES, "limits": LIMITS, **changes})
     known = parse_registry({"index": 41, "snapshot": True, "endpoints": [each.entry() for each in servers]})
-    made = World(
-        Sidecar(Config(("127.0.0.1", 0), discovery.address, 7, sockets, given, known)), servers, discovery
-    )
+    config = Config(("127.0.0.1", 0), discovery.address, 7, sockets, given, known)
+    made = World(config, servers, discovery)
     running = asyncio.create_task(made.sidecar.run(made.stop))
     await until(lambda: made.sidecar._balancer._begun)
     if settled:
--- a/tests/scale/test_configuration.py
+++ b/tests/scale/test_configuration.py
@@ -46,6 +46,7 @@
     command = [sys.executable, "-m", "scale", "run", str(SMALL), "--results", str(results)]
     subprocess.run(command, cwd=ROOT, check=True, timeout=60.0, capture_output=True)
     values = {(each.labels["phase"], each.metric): each.value for each in read_results([results])}
+    assert values[("change", "in force within 30 s")] == values[("taken back", "in force within 30 s")] == 1.0
     assert values[("change", "served")] == 1.0  # what was in flight as the file was replaced
     assert values[("bad file", "classes as before")] == 1.0
-    assert ("metered", "registry bytes of a reload") in values
+    assert values[("metered", "whole lists for a reload")] == 0.0
--- a/topazbank/__main__.py
+++ b/topazbank/__main__.py
@@ -1,7 +1,7 @@
 """Starts one sidecar: reads its configuration, serves, and drains on SIGTERM.
 
 Run as `python -m topazbank`, with RELAY_CONFIG naming the configuration.  A bad one ends the start with one
-line on standard error and exit code 2.  SIGHUP rereads it: discovery may have moved; all else stays.
+line on standard error and exit code 2.  SIGHUP puts it into force as it is now; a bad one changes nothing.
 """
 
 from __future__ import annotations
@@ -19,11 +19,11 @@
 from topazbank.net.discovery import RegistryResponse, parse_registry
 from topazbank.net.sidecar import Config, Sidecar
 from topazbank.net.upstream import parse_address
+from topazbank.reload import UNUSABLE, Reloader
 from topazbank.wirehost import settings_from_wire
 
 log = logging.getLogger(__name__)
 
-_BAD_CONFIG = (OSError, ValueError, RecursionError)
 _SOCKETS = 1024  # unless the configuration tells
 # An asyncio transport refers to itself, so what a closed connection leaves is freed by full collections
 # alone.  They are cheap here, and by the defaults come once in a minute and 2 MB or so.
@@ -48,6 +48,7 @@
         sockets=_sockets(given.get("limits")),
         settings=settings_from_wire(given.get("settings")),
         known=RegistryResponse(0, True, []) if known is None else parse_registry(known),
+        version=_version(given.get("version")),
     )
 
 
@@ -63,6 +64,12 @@
     raise ValueError("seed: hex digits are needed")
 
 
+def _version(value: Any) -> int | None:
+    if value is not None and (type(value) is not int or value < 0):
+        raise ValueError("version: a whole number from 0 is needed")
+    return value
+
+
 def _sockets(limits: Any) -> int:
     value = limits.get("sockets", _SOCKETS) if isinstance(limits, dict) else _SOCKETS
     if type(value) is not int or value < 1:
@@ -99,26 +106,17 @@
     for each in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(each, stop.set)
     sidecar = Sidecar(config)
-    loop.add_signal_handler(signal.SIGHUP, reread, sidecar)
+    reloader = Reloader(config, sidecar.reconfigure)
+    loop.add_signal_handler(signal.SIGHUP, reloader.reload, lambda: read_config(os.environ))
     await sidecar.run(stop)
 
 
-def reread(sidecar: Sidecar) -> None:
-    """Turn to the configuration as it is now; a bad one changes nothing."""
-    try:
-        config = read_config(os.environ)
-    except _BAD_CONFIG as bad:
-        log.error("the configuration stays as it was: %s", str(bad).replace("\n", " "))
-    else:
-        sidecar.move_discovery(config.discovery)
-
-
 def main() -> int:
     start_log()
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until there is something to move
     try:
         config = read_config(os.environ)
-    except _BAD_CONFIG as bad:
+    except UNUSABLE as bad:
         print(f"bad configuration: {bad}".replace("\n", " "), file=sys.stderr)
         return 2
     gc.freeze()  # what is loaded by now stays; collections look at requests alone
--- a/topazbank/interface.py
+++ b/topazbank/interface.py
@@ -175,7 +175,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Settings:
-    """All that an instance is told at its start."""
+    """All that an instance is told of its service."""
 
     classes: tuple[ServiceClass, ...]
     tenants: tuple[Tenant, ...] = ()
@@ -386,6 +386,16 @@
     version: int = 0
 
 
+@dataclass(slots=True)
+class SettingsChanged:
+    """Other settings are in force from here on.
+
+    Requests taken before keep their class, deadline and idempotency; limits hold for them, too.
+    """
+
+    settings: Settings
+
+
 @dataclass(slots=True)
 class RequestArrived:
     """A client's request; one final answer is owed from here on."""
@@ -457,6 +467,7 @@
 
 Event = (
     RegistryUpdated
+    | SettingsChanged
     | RequestArrived
     | AnswerStarted
     | AttemptEnded
--- a/topazbank/net/frontend.py
+++ b/topazbank/net/frontend.py
@@ -13,7 +13,7 @@
 
 import h11
 
-from topazbank.interface import Idempotency, Settings
+from topazbank.interface import Idempotency, ServiceClass, Settings
 from topazbank.net.upstream import Address, Headers, Reader, end_to_end, has_ended, is_quiet, message
 
 log = logging.getLogger(__name__)
@@ -69,7 +69,7 @@
     headers: Headers  # those that go on
     body: bytes
     ident: str
-    service_class: str
+    service_class: ServiceClass  # as it was when the request came
     tenant: str | None
     key: int | None
     budget_us: int
@@ -125,13 +125,16 @@
             raise BadRequest(400, f"{name.decode()} is missing")
     if len(given[b"x-call-id"]) > _IDENT_MOST:
         raise BadRequest(400, "x-call-id is too long")
+    service_class = next((each for each in settings.classes if each.name == given[b"x-call-class"]), None)
+    if service_class is None:
+        raise BadRequest(400, "x-call-class is not known")
     call = Call(
         method=head.method,
         target=head.target,
         headers=end_to_end(head.headers, b"content-length", b"x-budget", b"expect"),
         body=body,
         ident=given[b"x-call-id"],
-        service_class=given[b"x-call-class"],
+        service_class=service_class,
         tenant=given.get(b"x-caller") or None,
         key=_key(head.target),
         budget_us=int(_number(given[b"x-budget"], "x-budget") * 1e6),
@@ -140,16 +143,14 @@
         answer=answer,
         has_left=has_left,
     )
-    _check_class(call, bool(given.get(b"idempotency-key")), settings)
+    _check_class(call, bool(given.get(b"idempotency-key")))
     _check_tenant(call, settings)
     return call
 
 
-def _check_class(call: Call, keyed: bool, settings: Settings) -> None:
+def _check_class(call: Call, keyed: bool) -> None:
     """What a class says of its requests: how they come, and how long they may take."""
-    kind = next((each for each in settings.classes if each.name == call.service_class), None)
-    if kind is None:
-        raise BadRequest(400, "x-call-class is not known")
+    kind = call.service_class
     if call.method != (b"GET" if kind.idempotency is Idempotency.SAFE else b"POST"):
         raise BadRequest(405, "not the method of the class")
     if kind.idempotency is Idempotency.SAFE and call.body:
@@ -437,7 +438,7 @@
 
     def __init__(self, address: Address, most: int, hooks: Hooks, settings: Settings) -> None:
         self.hooks = hooks
-        self.settings = settings
+        self.settings = settings  # for the requests that come; others may be set at any time
         self.draining = False
         self._most = most
         self._most_at_rest = max(most // 3, 1)  # clients may keep for good what they will not use again
--- a/topazbank/net/sidecar.py
+++ b/topazbank/net/sidecar.py
@@ -41,6 +41,7 @@
     ServerState,
     SetTimer,
     Settings,
+    SettingsChanged,
     TimerFired,
     WatchRegistry,
 )
@@ -101,7 +102,8 @@
     seed: int
     sockets: int
     settings: Settings
-    known: RegistryResponse
+    known: RegistryResponse = field(compare=False)  # as held before the start, which alone needs it
+    version: int | None = None  # None: it names none
 
 
 class Sidecar:
@@ -154,8 +156,28 @@
         self._discovery.stop()
         await self._upstream.close()
 
+    def reconfigure(self, former: Config, given: Config) -> None:
+        """Put the difference between two configurations into force."""
+        if given.settings != former.settings:
+            self.adopt(given.settings)
+        if given.discovery != former.discovery:
+            self.move_discovery(given.discovery)
+
+    def adopt(self, settings: Settings) -> None:
+        """Put other settings into force; raise what the balancer raises, and then nothing else has changed.
+
+        Limits on descriptors and the listening socket are set at the start and stay.
+        """
+        actions = self._balancer.handle(self._clock.now(), SettingsChanged(settings))
+        self._settings = self.frontend.settings = settings
+        limits = settings.limits
+        self._upstream.set_times(limits.dial_timeout_us / 1e6, limits.idle_close_us / 1e6)
+        self._play(actions)
+        if settings.discovery is DiscoveryMode.PUSHED:
+            self._discovery.follow(True)
+
     def move_discovery(self, address: Address) -> None:
-        """Go on with discovery at another address; also where it is the same, asked for by name."""
+        """Go on with discovery at another address, and ask there for the whole list at once."""
         log.info("discovery is at %s:%d now", *address)
         self._discovery.move(address)
 
@@ -164,7 +186,8 @@
         began = loop.time()
         log.info("draining: %d requests held", len(self._by_call))
         self.frontend.drain()
-        longest = max(each.deadline_us for each in self._settings.classes) / 1e6
+        taken = (each.call.service_class for each in self._by_call.values())  # maybe by earlier settings
+        longest = max(each.deadline_us for each in (*self._settings.classes, *taken)) / 1e6
         last = began + min(longest, _DEADLINE_MOST_S) + _LINGER_S
         while loop.time() < began + _ACCEPT_S:
             await asyncio.sleep(_DRAIN_STEP_S)
@@ -204,22 +227,28 @@
     def handle(self, event: Event) -> None:
         """Play an event, and those that its actions cause, in order."""
         self._events.append(event)
-        if self._handling:
-            return
+        if not self._handling:
+            self._play(())
+
+    def _play(self, actions: Sequence[Action]) -> None:
+        """Carry actions out, then play the events that wait and those that all of this causes, in order."""
         self._handling = True
         try:
+            self._carry_out(actions)
             while self._events:
-                self._play(self._events.popleft())
+                self._carry_out(self._decide(self._events.popleft()))
         finally:
             self._handling = False
 
-    def _play(self, event: Event) -> None:
+    def _decide(self, event: Event) -> Sequence[Action]:
         try:
-            actions: Sequence[Action] = self._balancer.handle(self._clock.now(), event)
+            return self._balancer.handle(self._clock.now(), event)
         except Exception:
             log.exception("the balancer failed on %.200r", event)
             self._give_up(getattr(event, "request", None))
-            return
+            return ()
+
+    def _carry_out(self, actions: Sequence[Action]) -> None:
         for action in actions:
             try:
                 self._carry[type(action)](action)
@@ -247,7 +276,7 @@
         self.handle(
             RequestArrived(
                 live.ident,
-                call.service_class,
+                call.service_class.name,
                 call.tenant,
                 call.key,
                 call.budget_us,
@@ -288,7 +317,7 @@
 
         Guards against a client whose connection broke under the answer: it may send the same request again.
         """
-        kind = next(each for each in self._settings.classes if each.name == live.call.service_class)
+        kind = live.call.service_class
         if live.begun and kind.idempotency is not Idempotency.SAFE:
             loop = asyncio.get_running_loop()
             loop.call_later(kind.deadline_us / 1e6, self._out.discard, live.call.ident)
--- a/topazbank/net/upstream.py
+++ b/topazbank/net/upstream.py
@@ -392,6 +392,10 @@
         self._tallies: dict[int, Tally] = {}  # by age, each for twice the age of the one before
         self._stale_from: float = math.inf  # the first of them that is not to be trusted
 
+    def set_span(self, span_s: float) -> None:
+        """Let what was learnt fade over another span from now on."""
+        self._span_s = span_s
+
     def note(self, age_s: float | None, broke: bool) -> None:
         """Count a request on a connection that was idle for so long; None: on a new one."""
         tally = self._new if age_s is None else self._tallies.setdefault(self._step(age_s), Tally())
@@ -482,14 +486,35 @@
     """All connections to servers, within a bound on their number."""
 
     def __init__(self, dial_limit_s: float, idle_s: float, most: int) -> None:
-        self._dial_limit = dial_limit_s
-        self._idle_s = idle_s * (1.0 - _IDLE_MARGIN)
-        self._rest_s = _REST_PART * dial_limit_s
+        self._set_times(dial_limit_s, idle_s)
         self._ages = IdleAges(idle_s)
         self._most = most
         self._open = 0  # connections, and dials under way
         self._endpoints: dict[str, Endpoint] = {}  # of the servers that the list holds now
 
+    def _set_times(self, dial_limit_s: float, idle_s: float) -> None:
+        self._dial_limit = dial_limit_s
+        self._idle_s = idle_s * (1.0 - _IDLE_MARGIN)
+        self._rest_s = _REST_PART * dial_limit_s
+
+    def set_times(self, dial_limit_s: float, idle_s: float) -> None:
+        """Dial and keep idle connections for other times from now on; dials under way keep their limit.
+
+        A connection that is idle already counts from when it became so: its server closes it by the new time.
+        """
+        former_s = self._idle_s
+        self._set_times(dial_limit_s, idle_s)
+        self._ages.set_span(idle_s)
+        if self._idle_s == former_s:
+            return
+        loop = asyncio.get_running_loop()
+        for endpoint in self._endpoints.values():
+            for index, (connection, timer) in enumerate(endpoint.idle):
+                timer.cancel()
+                over_at = timer.when() - former_s + self._idle_s
+                timer = loop.call_at(over_at, self._idle_over, endpoint, connection)
+                endpoint.idle[index] = (connection, timer)
+
     def update(self, name: str, address: Address | None, started_at: int | None, state: ServerState) -> None:
         """Note what the list says of a server; a new process or place makes its old connections useless."""
         known = self._endpoints.get(name)
