--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -16,7 +16,7 @@
 from loopback import CLASSES, LIMITS, FakeDiscovery, World, answer, play, until, world
 
 from topazbank.__main__ import read_config
-from topazbank.interface import Settings
+from topazbank.interface import Action, Event, Settings, SettingsChanged
 from topazbank.net.discovery import RegistryResponse
 from topazbank.net.sidecar import Config
 from topazbank.reload import Applied, Rejected, Reload, Reloader, Unchanged
@@ -349,3 +349,23 @@
             assert (await held)[0] == 200
 
     play(scene())
+
+
+def test_a_defect_of_the_balancer_leaves_the_sidecar_as_it_was(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def scene() -> None:
+        async with reloading() as r:
+            balancer, handle = r.world.sidecar._balancer, r.world.sidecar._balancer.handle
+
+            def broken(now: int, event: Event) -> list[Action]:
+                if event == SettingsChanged(OTHER):
+                    raise RuntimeError("a defect")
+                return handle(now, event)
+
+            monkeypatch.setattr(balancer, "handle", broken)
+            assert isinstance(r.reload(settings=OTHER), Rejected)
+            assert [await r.status(kind) for kind in ("look", "added")] == [200, 400]
+            monkeypatch.setattr(balancer, "handle", handle)
+            assert isinstance(r.reload(settings=OTHER), Applied)
+            assert await r.status("added") == 200
+
+    play(scene())
