Give settings, their wire names and the sidecar's configuration modules of their own

__main__.py reached into the simulator's adapter for settings_from_wire, and interface.py held settings, their reader, events and actions in 557 lines. settings.py has the settings and their reader, interface.py events and actions, wire_settings.py the map of the wire's names that the adapter and the sidecar share, and configuration.py reads the sidecar's configuration; __main__.py keeps the start.

--- a/scale/callgraph/graph.py
+++ b/scale/callgraph/graph.py
@@ -13,15 +13,8 @@
 from scale.callgraph.policies import make_policy
 from scale.callgraph.server import Server
 from scale.callgraph.sidecar import SimulatedSidecar
-from topazbank.interface import (
-    Discovery,
-    Endpoint,
-    Idempotency,
-    Limits,
-    RegistryUpdateKind,
-    ServiceClass,
-    Settings,
-)
+from topazbank.interface import Endpoint, RegistryUpdateKind
+from topazbank.settings import Discovery, Idempotency, Limits, ServiceClass, Settings
 
 _SERVICE_CLASS = "call"
 _TICK_US = 1_000
--- a/scale/callgraph/policies.py
+++ b/scale/callgraph/policies.py
@@ -20,8 +20,8 @@
     RequestArrived,
     Send,
     ServerState,
-    Settings,
 )
+from topazbank.settings import Settings
 
 _TICKS_EARLY = 2  # an attempt is given up this many ticks before the caller's time is up
 _PLAIN_RETRIES = 2
--- a/scale/callgraph/sidecar.py
+++ b/scale/callgraph/sidecar.py
@@ -15,7 +15,6 @@
     Cancel,
     Endpoint,
     Fail,
-    Limits,
     Outcome,
     Refuse,
     RegistryUpdated,
@@ -25,6 +24,7 @@
     SetTimer,
     TimerFired,
 )
+from topazbank.settings import Limits
 
 
 @dataclass(slots=True, eq=False)
--- a/scale/control/hollow.py
+++ b/scale/control/hollow.py
@@ -29,14 +29,14 @@
     RegistryUpdateKind,
     ServerState,
     SetTimer,
-    Settings,
     TimerFired,
     WatchRegistry,
 )
 from topazbank.net.discovery import Discovery, RegistryResponse
 from topazbank.net.sidecar import Clock
 from topazbank.net.upstream import Address, Upstream, parse_address
-from topazbank.wirehost import settings_from_wire
+from topazbank.settings import Settings
+from topazbank.wire_settings import settings_from_wire
 
 _SOCKETS_PER_SIDECAR = 480  # what a sidecar with the usual 1,024 descriptors keeps for servers
 _GC_THRESHOLDS = (700, 5, 2)  # as the sidecar's own program sets them
--- a/tests/scale/test_control.py
+++ b/tests/scale/test_control.py
@@ -23,7 +23,7 @@
 from scale.standins.fleet import make_endpoints
 from scale.standins.registry import RegistryServer
 from topazbank.interface import RequestArrived, Send
-from topazbank.wirehost import settings_from_wire
+from topazbank.wire_settings import settings_from_wire
 
 ROOT = Path(__file__).parent.parent.parent
 SMALL = ROOT / "scale" / "experiments" / "control-small.toml"
--- a/tests/scale/test_demo.py
+++ b/tests/scale/test_demo.py
@@ -24,7 +24,7 @@
     start_sidecar,
 )
 from scale.standins.server import ServedBody
-from topazbank.__main__ import read_config
+from topazbank.configuration import read_config
 
 DEMO = [sys.executable, "-m", "scale", "demo", "--duration", "3", "--rate", "60"]
 CONFIGURATION_PAGE = SAMPLE_CONFIG.parents[2] / "docs" / "CONFIGURATION.md"
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -15,7 +15,8 @@
 from hypothesis import settings as how
 from hypothesis import strategies as st
 
-from topazbank.wirehost import run, settings_from_wire
+from topazbank.wire_settings import settings_from_wire
+from topazbank.wirehost import run
 
 BOOT: dict[str, Any] = {
     "bounds": {"sendCap": 3, "secondCopies": True, "mayCancel": True, "streamsPerConn": 1},
--- a/tests/test_any_sequence.py
+++ b/tests/test_any_sequence.py
@@ -16,7 +16,6 @@
     Endpoint,
     Event,
     Fail,
-    Idempotency,
     Outcome,
     Probe,
     ProbeEnded,
@@ -30,6 +29,7 @@
     SetTimer,
     TimerFired,
 )
+from topazbank.settings import Idempotency
 
 SERVERS = names(7)
 ZONES = ("east", "west")
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -10,7 +10,8 @@
 from hypothesis import strategies as st
 
 from topazbank import Balancer, Settings
-from topazbank.interface import Discovery, Idempotency, RequestArrived
+from topazbank.interface import RequestArrived
+from topazbank.settings import Discovery, Idempotency
 
 LEAST = {"classes": [{"name": "a", "deadline_us": 1_000_000}]}
 
--- a/topazbank/__main__.py
+++ b/topazbank/__main__.py
@@ -1,4 +1,4 @@
-"""Starts one sidecar: reads its configuration, serves, and drains on SIGTERM.
+"""Starts one sidecar: serves by its configuration, and drains on SIGTERM.
 
 Run as `python -m topazbank`, with RELAY_CONFIG naming the configuration.  A bad one ends the start with one
 line on standard error and exit code 2.  SIGHUP rereads it: discovery may have moved; all else stays.
@@ -8,68 +8,23 @@
 
 import asyncio
 import gc
-import json
 import logging
 import os
 import signal
 import sys
-from collections.abc import Mapping
-from typing import Any
 
-from topazbank.net.discovery import RegistryResponse, parse_registry
+from topazbank.configuration import read_config
 from topazbank.net.sidecar import Config, Sidecar
-from topazbank.net.upstream import parse_address
-from topazbank.wirehost import settings_from_wire
 
 log = logging.getLogger(__name__)
 
 _BAD_CONFIG = (OSError, ValueError, RecursionError)
-_SOCKETS = 1024  # unless the configuration tells
 # An asyncio transport refers to itself, so what a closed connection leaves is freed by full collections
 # alone.  They are cheap here, and by the defaults come once in a minute and 2 MB or so.
 _COLLECTED = (700, 5, 2)
 _LOG_LINES = 50  # a second at most
 
 
-def read_config(environ: Mapping[str, str]) -> Config:
-    """Read what the sidecar is told; raise ValueError or OSError, saying what is wrong."""
-    path = environ.get("RELAY_CONFIG")
-    if not path:
-        raise ValueError("RELAY_CONFIG names no file")
-    with open(path, encoding="utf-8") as file:
-        given = json.load(file)
-    if not isinstance(given, dict):
-        raise ValueError("an object is needed")
-    known = given.get("known")
-    return Config(
-        listen=_address(environ.get("RELAY_LISTEN") or given.get("listen"), "listen"),
-        discovery=_address(given.get("discovery") or environ.get("RELAY_DISCOVERY"), "discovery"),
-        seed=_seed(given.get("seed", "0")),
-        sockets=_sockets(given.get("limits")),
-        settings=settings_from_wire(given.get("settings")),
-        known=RegistryResponse(0, True, []) if known is None else parse_registry(known),
-    )
-
-
-def _address(value: Any, name: str) -> tuple[str, int]:
-    if not isinstance(value, str):
-        raise ValueError(f"{name}: an address is needed")
-    return parse_address(value)
-
-
-def _seed(value: Any) -> int:
-    if isinstance(value, str):
-        return int(value, 16)
-    raise ValueError("seed: hex digits are needed")
-
-
-def _sockets(limits: Any) -> int:
-    value = limits.get("sockets", _SOCKETS) if isinstance(limits, dict) else _SOCKETS
-    if type(value) is not int or value < 1:
-        raise ValueError("limits.sockets: a whole number is needed")
-    return value
-
-
 class Flood(logging.Filter):
     """Lets through so many lines a second: guards against junk from outside that would fill the log."""
 
--- a/topazbank/balancer.py
+++ b/topazbank/balancer.py
@@ -8,15 +8,7 @@
 import random
 
 from topazbank import interface
-from topazbank.interface import (
-    Action,
-    Event,
-    Idempotency,
-    Outcome,
-    RegistryUpdateKind,
-    ServerState,
-    ServiceClass,
-)
+from topazbank.interface import Action, Event, Outcome, RegistryUpdateKind, ServerState
 from topazbank.policy import probing, retries
 from topazbank.policy.admission import AdmissionControl
 from topazbank.policy.concurrency_limit import CORES_BUSY, LATE_RATIO, ConcurrencyLimit
@@ -29,6 +21,7 @@
 from topazbank.policy.selection import Selector
 from topazbank.policy.slow_start import SlowStart
 from topazbank.policy.sparsity import sparsity
+from topazbank.settings import Idempotency, ServiceClass, Settings
 from topazbank.state import Attempt, Context, LinearFit, Request, Server, timers
 
 STALL_CHECK_TARGETS = 0.1  # while an attempt is active a timer checks so often, in shortest latency targets
@@ -41,7 +34,7 @@
 class Balancer:
     """The decisions of one instance.  Feed it events in order; carry out the actions it returns in order."""
 
-    def __init__(self, settings: interface.Settings, seed: int) -> None:
+    def __init__(self, settings: Settings, seed: int) -> None:
         self._settings = settings
         self._classes = {each.name: each for each in settings.classes}
         self._ordered = any(each.ordered_by_key for each in settings.classes)
--- a/topazbank/net/frontend.py
+++ b/topazbank/net/frontend.py
@@ -13,8 +13,8 @@
 
 import h11
 
-from topazbank.interface import Idempotency, Settings
 from topazbank.net.upstream import Address, Headers, Reader, end_to_end, has_ended, is_quiet, message
+from topazbank.settings import Idempotency, Settings
 
 log = logging.getLogger(__name__)
 
--- a/topazbank/net/sidecar.py
+++ b/topazbank/net/sidecar.py
@@ -26,7 +26,6 @@
     Event,
     Fail,
     FetchRegistry,
-    Idempotency,
     Log,
     Outcome,
     Probe,
@@ -34,21 +33,20 @@
     Refuse,
     RegistryUpdated,
     RegistryUpdateKind,
-    ReportSource,
     RequestArrived,
     RequestGone,
     Send,
     ServerState,
     SetTimer,
-    Settings,
     TimerFired,
     WatchRegistry,
 )
-from topazbank.interface import Discovery as DiscoveryMode
 from topazbank.net import upstream
 from topazbank.net.discovery import Discovery, RegistryResponse
 from topazbank.net.frontend import Call, Frontend, Hooks, retry_after
 from topazbank.net.upstream import Address, Exchange, Headers, Response
+from topazbank.settings import Discovery as DiscoveryMode
+from topazbank.settings import Idempotency, ReportSource, Settings
 
 log = logging.getLogger(__name__)
 
--- a/topazbank/policy/admission.py
+++ b/topazbank/policy/admission.py
@@ -2,9 +2,9 @@
 
 import math
 
-from topazbank.interface import ServiceClass
 from topazbank.policy.concurrency_limit import FREE_FILL, ConcurrencyLimit
 from topazbank.policy.sparsity import FEW_ACTIVE
+from topazbank.settings import ServiceClass
 from topazbank.state import Context, DecayingRate, Flow, Request, Traffic
 
 TRAFFIC_TARGETS = 4.0  # traffic is averaged over this many of the longest latency target
--- a/topazbank/policy/latency.py
+++ b/topazbank/policy/latency.py
@@ -1,7 +1,7 @@
 """Usual latency and cost of each class and size of requests, and how servers compare with it."""
 
-from topazbank.interface import ServiceClass
 from topazbank.policy.sparsity import sparsity
+from topazbank.settings import ServiceClass
 from topazbank.state import Context, Request, Server
 
 WEIGHT_STEP = 0.1  # a latency weight follows the last ten answers or so, or fewer where few are active
--- a/topazbank/policy/outliers.py
+++ b/topazbank/policy/outliers.py
@@ -1,9 +1,10 @@
 """Outlier ejection: servers that fail or fall silent are left, and come back by half-open attempts."""
 
-from topazbank.interface import Idempotency, Log, Outcome, ServerState
+from topazbank.interface import Log, Outcome, ServerState
 from topazbank.policy.retries import may_run_again
 from topazbank.policy.slow_start import SlowStart
 from topazbank.policy.sparsity import subset_size
+from topazbank.settings import Idempotency
 from topazbank.state import Attempt, Backoff, Context, Request, Server
 
 FAILURES_TO_EJECT = 3  # in a row, none answered between: networks break a few by chance
--- a/topazbank/policy/probing.py
+++ b/topazbank/policy/probing.py
@@ -3,11 +3,12 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
-from topazbank.interface import Outcome, Probe, ProbeEnded, ReportSource, Settings
+from topazbank.interface import Outcome, Probe, ProbeEnded
 from topazbank.policy.concurrency_limit import LATE_RATIO
 from topazbank.policy.connections import IdleConnections
 from topazbank.policy.selection import CANDIDATES, Selector
 from topazbank.policy.slow_start import SlowStart
+from topazbank.settings import ReportSource, Settings
 from topazbank.state import Attempt, Context, LinearFit, Request, Server
 from topazbank.state.timers import ProbesDue
 
--- a/topazbank/policy/refresh.py
+++ b/topazbank/policy/refresh.py
@@ -1,6 +1,7 @@
 """When the registry is asked: at the start, after failed calls, and again where a call is never answered."""
 
-from topazbank.interface import Discovery, WatchRegistry
+from topazbank.interface import WatchRegistry
+from topazbank.settings import Discovery
 from topazbank.state import Context
 from topazbank.state.timers import RegistryPoll
 
--- a/topazbank/policy/retries.py
+++ b/topazbank/policy/retries.py
@@ -1,6 +1,6 @@
 """Retries: which requests may be attempted again, at which servers, and the budget for that."""
 
-from topazbank.interface import DedupScope, Idempotency
+from topazbank.settings import DedupScope, Idempotency
 from topazbank.state import Request, Server
 
 RETRIES_PER_REQUEST = 0.2  # retries after failures, for each first attempt: no retry storms
--- a/topazbank/state/context.py
+++ b/topazbank/state/context.py
@@ -3,7 +3,8 @@
 import random
 from collections.abc import Callable
 
-from topazbank.interface import Action, Event, Settings, TimerFired
+from topazbank.interface import Action, Event, TimerFired
+from topazbank.settings import Settings
 from topazbank.state.load import ActiveLoad
 from topazbank.state.registry import ServerRegistry
 from topazbank.state.timers import StallCheck, Timer, TimerQueue
--- a/topazbank/state/records.py
+++ b/topazbank/state/records.py
@@ -6,7 +6,8 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
-from topazbank.interface import ServerState, ServiceClass
+from topazbank.interface import ServerState
+from topazbank.settings import ServiceClass
 from topazbank.state.statistics import DecayingRate
 
 Flow = tuple[str, str | None]  # the class and tenant of a request
