--- a/scale/kinds.py
+++ b/scale/kinds.py
@@ -15,6 +15,8 @@
 from scale.control.run import run_control
 from scale.errors import ExperimentError
 from scale.experiment import Experiment, read_experiment_file, validate_experiment
+from scale.latency.experiment import LatencyExperiment
+from scale.latency.run import run_latency
 from scale.results import ResultWriter
 
 
@@ -30,6 +32,7 @@
     "callgraph": ExperimentKind(CallGraphExperiment, run_call_graphs),
     "configuration": ExperimentKind(ConfigurationExperiment, run_configuration),
     "control": ExperimentKind(ControlExperiment, run_control),
+    "latency": ExperimentKind(LatencyExperiment, run_latency),
 }
 
 
--- a/tests/scale/test_demo.py
+++ b/tests/scale/test_demo.py
@@ -24,7 +24,7 @@
     start_sidecar,
 )
 from scale.standins.server import ServedBody
-from topazbank.__main__ import read_config
+from topazbank.configuration import read_config
 
 DEMO = [sys.executable, "-m", "scale", "demo", "--duration", "3", "--rate", "60"]
 CONFIGURATION_PAGE = SAMPLE_CONFIG.parents[2] / "docs" / "CONFIGURATION.md"
@@ -53,7 +53,7 @@
 
 
 def result(server: str, at: float, status: int = 200) -> CallResult:
-    return CallResult(at, at, at + 0.002, status, ServedBody(server, 1, 1000.0).encode())
+    return CallResult(at, at, at + 0.002, status, ServedBody(server, 1, at, 1000.0).encode())
 
 
 def outcome(**changes: Any) -> DemoOutcome:
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -15,11 +15,12 @@
 from helpers import settings
 from loopback import CLASSES, LIMITS, FakeDiscovery, World, answer, play, until, world
 
-from topazbank.__main__ import read_config
-from topazbank.interface import Action, Event, Settings, SettingsChanged
+from topazbank.configuration import read_config
+from topazbank.interface import Action, Event, SettingsChanged
 from topazbank.net.discovery import RegistryResponse
 from topazbank.net.sidecar import Config
 from topazbank.reload import Applied, Rejected, Reload, Reloader, Unchanged
+from topazbank.settings import Settings
 
 ADDED = CLASSES[0] | {"name": "added"}
 MANY = 1_024
--- a/topazbank/reload.py
+++ b/topazbank/reload.py
@@ -11,8 +11,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, fields
 
-from topazbank.interface import Settings
 from topazbank.net.sidecar import Config
+from topazbank.settings import Settings
 
 log = logging.getLogger(__name__)
 
