Let the balancer adopt changed settings while requests are in progress

SettingsChanged reached the balancer and did nothing there: classes, limits, shares, targets and spans were copied or worked out once, at the construction.

What follows from the settings alone is now worked out in Context.adopt, at the start and at each change; policies read it there. New settings hold for requests that arrive from then on. Requests in progress keep their class; of the limits and of what proves that an attempt never ran the strictest holds for them that held since they were accepted, so what is tightened holds at once and what is loosened holds for later ones. Registry, servers' state, latency weights, usual latencies, retry budget and rates stay; rates go on over their new spans; the concurrency limit, the median ratio and its baseline are rescaled by the longest latency target, as a reset would open the gates of an overloaded fleet at each change.

tests/test_any_sequence.py plays changes of settings among its steps and holds each request to the strictest of what was allowed since it came; as strict as before where nothing changes.

--- a/tests/test_any_sequence.py
+++ b/tests/test_any_sequence.py
@@ -27,6 +27,7 @@
     Send,
     ServerState,
     SetTimer,
+    SettingsChanged,
     TimerFired,
 )
 from topazbank.settings import Idempotency
@@ -55,6 +56,18 @@
         ordered: set[str],
         probing: bool,
         rng_seed: int,
+    ) -> None:
+        self.adopt(allow_hedging, attempts, late_shedding, ordered, probing)
+        self.balancer = Balancer(self.settings, rng_seed)
+        self.now = START
+        self.timers: list[tuple[int, str]] = []
+        self.requests: dict[int, dict[str, Any]] = {}
+        self.probes: list[tuple[str, int]] = []
+        self.listed: dict[str, Endpoint] = {}
+        self.next = 1
+
+    def adopt(
+        self, allow_hedging: bool, attempts: int, late_shedding: bool, ordered: set[str], probing: bool
     ) -> None:
         self.settings = settings(
             classes=[{**each, "ordered_by_key": each["name"] in ordered} for each in CLASSES],
@@ -63,15 +76,19 @@
             prices={"cross_zone": 0.1},
             rules={"late_shedding": late_shedding, "key_rest_us": GAP},
         )
-        self.proofs = [Outcome.DIAL_FAILED, Outcome.UNSENT] + [Outcome.FULL] * (not late_shedding)
-        self.balancer = Balancer(self.settings, rng_seed)
+        self.proofs = {Outcome.DIAL_FAILED, Outcome.UNSENT} | ({Outcome.FULL} if not late_shedding else set())
         self.kinds = {each.name: each for each in self.settings.classes}
-        self.now = START
-        self.timers: list[tuple[int, str]] = []
-        self.requests: dict[int, dict[str, Any]] = {}
-        self.probes: list[tuple[str, int]] = []
-        self.listed: dict[str, Endpoint] = {}
-        self.next = 1
+
+    def change(
+        self, allow_hedging: bool, attempts: int, late_shedding: bool, ordered: set[str], probing: bool
+    ) -> None:
+        """Other settings: what they forbid is forbidden to requests in progress, too."""
+        self.adopt(allow_hedging, attempts, late_shedding, ordered, probing)
+        for request in self.requests.values():
+            request["attempts most"] = min(request["attempts most"], attempts)
+            request["copies"] = request["copies"] and allow_hedging
+            request["proofs"] = request["proofs"] & self.proofs
+        self.play(SettingsChanged(self.settings))
 
     def play(self, event: Event) -> None:
         for action in self.balancer.handle(self.now, event):
@@ -101,10 +118,10 @@
         earlier = request["attempts"]
         if request["key"] is not None and not earlier:
             self.check_order(action.request)
-        assert len(earlier) < self.settings.limits.max_attempts, "more attempts than allowed"
-        if not self.settings.limits.allow_hedging:
+        assert len(earlier) < request["attempts most"], "more attempts than allowed"
+        if not request["copies"]:
             assert not any(each["pending"] for each in earlier), "two copies out at once"
-        maybe = [each for each in earlier if each["pending"] or each["outcome"] not in self.proofs]
+        maybe = [each for each in earlier if each["pending"] or not each["never ran"]]
         if maybe and kind.idempotency is Idempotency.UNSAFE:
             raise AssertionError("an unsafe request was sent again")
         if maybe and kind.idempotency is Idempotency.KEYED:
@@ -131,9 +148,7 @@
         assert not request["over"], "two final answers"
         assert self.now < request["deadline"] or request["late"], "answered after the deadline"
         if isinstance(action, Refuse) and request["kind"].idempotency is not Idempotency.SAFE:
-            maybe = [
-                each for each in request["attempts"] if each["pending"] or each["outcome"] not in self.proofs
-            ]
+            maybe = [each for each in request["attempts"] if each["pending"] or not each["never ran"]]
             whole = (
                 request["kind"].idempotency is Idempotency.KEYED
                 and request["kind"].dedup_scope.value == "all"
@@ -157,6 +172,9 @@
             "late": remaining_us <= 2 * TICK,
             "attempts": [],
             "over": False,
+            "attempts most": self.settings.limits.max_attempts,
+            "copies": self.settings.limits.allow_hedging,
+            "proofs": self.proofs,
             "key": key if self.kinds[name].ordered_by_key else None,
         }
         self.play(RequestArrived(number, name, None, key, remaining_us))
@@ -175,6 +193,7 @@
         request = self.requests[number]
         each = request["attempts"][index]
         each["pending"], each["outcome"], each["ended"] = False, outcome, self.now
+        each["never ran"] = outcome in request["proofs"]
         if outcome is Outcome.DELIVERED:
             request["over"] = True
         self.play(Ended(number, index, each["server"], outcome, self.now - each["at"], request["over"]))
@@ -232,6 +251,13 @@
     st.integers(1, 2_500).map(lambda ms: ms * MS),
     st.sampled_from(KEYS),
 )
+allowed = (  # copies, attempts, late shedding, classes in order, probing
+    st.booleans(),
+    st.integers(0, 4),
+    st.booleans(),
+    st.sets(st.sampled_from([str(each["name"]) for each in CLASSES])),
+    st.booleans(),
+)
 steps = st.one_of(
     arrivals,
     arrivals,
@@ -243,6 +269,7 @@
         st.sampled_from([None, 0.0, 3.0, 50.0]),
     ),
     st.tuples(st.just("leave"), st.integers(0, 50)),
+    st.tuples(st.just("change"), *allowed),
     st.tuples(st.just("wait"), st.integers(1, 1_500).map(lambda ms: ms * MS)),
     st.tuples(
         st.just("list"),
@@ -254,11 +281,7 @@
 
 @how(max_examples=250, deadline=None, derandomize=True, suppress_health_check=list(HealthCheck))
 @given(
-    st.booleans(),
-    st.integers(0, 4),
-    st.booleans(),
-    st.sets(st.sampled_from([str(each["name"]) for each in CLASSES])),
-    st.booleans(),
+    *allowed,
     st.integers(0, 1_000),
     st.lists(steps, min_size=5, max_size=60),
 )
@@ -282,6 +305,8 @@
                 referee.end(choice, outcome)
             case ("probed", outcome, held):
                 referee.probed(outcome, held)
+            case ("change", *other):
+                referee.change(*other)
             case ("leave", choice):
                 referee.leave(choice)
             case ("wait", span):
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -284,7 +284,7 @@
     play(scene())
 
 
-@pytest.mark.parametrize(("former", "latter"), [("on_request", "pushed")])
+@pytest.mark.parametrize(("former", "latter"), [("on_request", "pushed"), ("pushed", "on_request")])
 def test_a_watch_goes_on_through_a_change_of_how_discovery_tells(former: str, latter: str) -> None:
     async def scene() -> None:
         async with reloading(discovery=former) as r:
--- a/topazbank/balancer.py
+++ b/topazbank/balancer.py
@@ -21,26 +21,19 @@
 from topazbank.policy.selection import Selector
 from topazbank.policy.slow_start import SlowStart
 from topazbank.policy.sparsity import sparsity
-from topazbank.settings import Idempotency, ServiceClass, Settings
+from topazbank.settings import Idempotency, Settings
 from topazbank.state import Attempt, Context, LinearFit, Request, Server, timers
 
 STALL_CHECK_TARGETS = 0.1  # while an attempt is active a timer checks so often, in shortest latency targets
 ANSWER_EARLY_TICKS = 2  # a final answer leaves this many ticks before the client's time is up
 RETRY_AFTER_TARGETS = 0.1  # a refused client should come back after about this part of its latency target
 CONNECTED = (Outcome.DELIVERED, Outcome.ERROR, Outcome.FULL)  # the connection is still there after these
-NEVER_RAN = (Outcome.DIAL_FAILED, Outcome.UNSENT)  # these prove it; full answers too, unless shed late
 
 
 class Balancer:
     """The decisions of one instance.  Feed it events in order; carry out the actions it returns in order."""
 
     def __init__(self, settings: Settings, seed: int) -> None:
-        self._settings = settings
-        self._classes = {each.name: each for each in settings.classes}
-        self._ordered = any(each.ordered_by_key for each in settings.classes)
-        self._never_ran = NEVER_RAN if settings.rules.late_shedding else (*NEVER_RAN, Outcome.FULL)
-        self._probes = probing.probes_per_tie(settings)
-        self._local_first = self._probes > 1 and probing.crossing_cost(settings) >= probing.CROSSING_LEAST
         self._begun = False
         self._requests: dict[int, Request] = {}
         self._context = context = Context(settings, random.Random(seed), STALL_CHECK_TARGETS)
@@ -51,12 +44,30 @@
         self._slow_start = slow_start = SlowStart(context)
         self._limit = limit = ConcurrencyLimit(context)
         arrivals, fit = slow_start.arrivals, LinearFit(probing.FIT_DECAY, probing.FIT_MIN_SAMPLES)
-        self._admission = admission = AdmissionControl(context, limit, arrivals, self._probes > 1)
+        self._admission = admission = AdmissionControl(context, limit, arrivals)
         self._outliers = outliers = OutlierDetector(context, slow_start)
         self._overdue = OverdueDetector(context, latency, outliers, admission, limit)
-        self._selector = selector = Selector(context, slow_start, limit, self._local_first)
+        self._selector = selector = Selector(context, slow_start, limit)
         self._connections = connections = IdleConnections(context, arrivals, fit)
         self._prober = probing.Prober(context, slow_start, selector, connections, fit)
+        self._set_up_probing()
+
+    def _set_up_probing(self) -> None:
+        self._probes = probing.probes_per_tie(self._context.settings)
+        self._admission.probing = self._probes > 1
+        self._selector.local_first = self._probes > 1 and probing.is_crossing_dear(self._context.settings)
+
+    def _settings_changed(self, settings: Settings) -> None:
+        """Go by other settings; requests in progress keep their class, and limits that were stricter."""
+        context, former = self._context, self._context.settings
+        former_target_us = context.longest_target_us
+        context.adopt(settings)
+        self._set_up_probing()
+        self._limit.rescale(context.longest_target_us / former_target_us)
+        for request in self._requests.values():
+            request.restrict(settings.limits, context.never_ran)
+        if former.discovery is not settings.discovery:
+            self._refresh.watch()
 
     def handle(self, now: int, event: Event) -> list[Action]:
         """Take one event at clock time `now`; return what to do, in order."""
@@ -76,6 +87,8 @@
                 self._timer_fired()
             case interface.RegistryUpdated():
                 self._registry_updated(event)
+            case interface.SettingsChanged(settings):
+                self._settings_changed(settings)
             case interface.RequestGone():
                 if (request := self._unanswered(event.request)) is not None:
                     self._close(request)
@@ -109,17 +122,15 @@
 
     def _request_arrived(self, event: interface.RequestArrived) -> None:
         now = self._context.now
-        service_class = self._classes.get(event.service_class)
-        if service_class is None:  # the settings do not name it: the least is assumed of it
-            allowed = max(event.remaining_us, 1)
-            service_class = ServiceClass(event.service_class, allowed, allowed, ordered_by_key=self._ordered)
+        service_class = self._context.class_named(event.service_class, event.remaining_us)
         self._slow_start.arrivals.add(now)
         self._retry_budget.deposit()
-        answer_by = now + event.remaining_us - ANSWER_EARLY_TICKS * self._settings.tick_us
+        answer_by = now + event.remaining_us - ANSWER_EARLY_TICKS * self._context.settings.tick_us
         cost = self._latency.relative_cost(service_class, event.cost_us)
         flow = (service_class.name, event.tenant)
-        all_zones, size = not self._local_first, max(-3, min(math.frexp(cost)[1], 4))
+        all_zones, size = not self._selector.local_first, max(-3, min(math.frexp(cost)[1], 4))
         request = Request(event.request, service_class, answer_by, cost, flow, all_zones, size)
+        request.limits, request.never_ran = self._context.settings.limits, self._context.never_ran
         self._requests[event.request] = request
         self._context.timers.add(answer_by, timers.RequestDeadline(event.request))
         if self._admission.refuses(request, event.remaining_us):
@@ -169,7 +180,7 @@
 
     def _send(self, request: Request, server: Server) -> bool:
         """The one way out for an attempt.  Says whether the attempt was allowed and sent."""
-        now, limits = self._context.now, self._settings.limits
+        now, limits = self._context.now, request.limits
         if request.answered or now >= request.answer_by:
             return False  # rule 1: nothing after the final answer, nothing that cannot be answered in time
         if len(request.attempts) >= limits.max_attempts or not self._key_order.allows(request):
@@ -193,18 +204,18 @@
             server.half_open_attempt = attempt
         self._overdue.watch(request, attempt)
         keyed = request.service_class.idempotency is Idempotency.KEYED
-        write_by = retries.repeat_by(request, now, self._settings.tick_us) if keyed else None
+        write_by = retries.repeat_by(request, now, self._context.settings.tick_us) if keyed else None
         self._context.actions.append(interface.Send(request.ident, server.name, request.answer_by, write_by))
         return True
 
     def _may_run_again(self, request: Request) -> bool:
-        return retries.may_run_again(request, self._context.now, self._settings.tick_us)
+        return retries.may_run_again(request, self._context.now, self._context.settings.tick_us)
 
     def _finish(self, request: Request) -> None:
         """The one way out for an answer that is not a server's: a refusal where legal, else a failure."""
         if request.answered:
             return
-        limits = self._settings.limits  # jitter, or those refused at once would be back at once
+        limits = self._context.settings.limits  # jitter, or those refused at once would be back at once
         back_us = RETRY_AFTER_TARGETS * request.service_class.latency_target_us
         back_us = min(back_us * (0.5 + self._context.rng.random()), limits.max_retry_after_us)
         if retries.is_harmless_to_client(request):
@@ -218,7 +229,7 @@
         """Nothing is owed any more; active attempts are cancelled where that is permitted."""
         request.answered = True
         for attempt in request.attempts:
-            if attempt.pending and not attempt.started and self._settings.limits.allow_cancel:
+            if attempt.pending and not attempt.started and request.limits.allow_cancel:
                 self._context.actions.append(interface.Cancel(request.ident, attempt.index))
         self._forget_if_over(request)
 
@@ -235,7 +246,7 @@
         if not attempt.pending:
             return
         attempt.pending = False
-        attempt.may_have_run = event.outcome not in self._never_ran
+        attempt.may_have_run = event.outcome not in request.never_ran
         self._key_order.attempt_ended(request, event.outcome)
         self._context.load.change(attempt.server, -1)
         if event.outcome in CONNECTED:
@@ -257,9 +268,8 @@
             case Outcome.EXPIRED | Outcome.CANCELLED:
                 if not (attempt.counted_late or request.answered or event.answered):
                     self._admission.count_late()
-                self._context.load.abandon(
-                    server, self._context.now + elapsed_us
-                )  # for as long as it was waited for
+                # It counts for as long again as it was waited for.
+                self._context.load.abandon(server, self._context.now + elapsed_us)
                 usual_us = self._latency.usual_us(request) * server.latency_weight
                 if elapsed_us > usual_us and not catching_up:
                     self._latency.weigh(request, server, elapsed_us)
@@ -290,7 +300,7 @@
 
     def _attempt_overdue(self, request: Request, attempt: Attempt) -> None:
         """Save a repeatable request from a silent server."""
-        limits = self._settings.limits
+        limits = request.limits
         exhausted = len(request.attempts) >= limits.max_attempts
         if not self._overdue.is_lost(request, attempt) or exhausted or not self._may_run_again(request):
             return  # waiting is all that is left
@@ -298,9 +308,8 @@
             if self._retry_budget.spend():
                 self._place(request)
         elif limits.allow_cancel and self._retry_budget.has_room():
-            self._context.actions.append(
-                interface.Cancel(request.ident, attempt.index)
-            )  # its end draws again
+            # Its end draws again.
+            self._context.actions.append(interface.Cancel(request.ident, attempt.index))
 
     def _wanted_at(self, due: int, timer: timers.Timer) -> int | None:
         """When that which a timer was set for wants it; None: no longer."""
--- a/topazbank/policy/admission.py
+++ b/topazbank/policy/admission.py
@@ -22,19 +22,18 @@
     As the limit fills, the part admitted falls by powers, sooner for lower priority.
     """
 
-    def __init__(
-        self, context: Context, limit: ConcurrencyLimit, arrivals: DecayingRate, probing: bool
-    ) -> None:
+    def __init__(self, context: Context, limit: ConcurrencyLimit, arrivals: DecayingRate) -> None:
+        self.probing = False  # whether probes tell of overload
         self._limit = limit
         self._arrivals = arrivals
-        self._probing = probing
         self._context = context
-        self._shares = {each.name: each.share for each in context.settings.tenants}
-        self._all_shares = sum(self._shares.values()) or 1.0
-        self._traffic: dict[Flow, Traffic] = {}
-        self._span_us = TRAFFIC_TARGETS * context.longest_target_us
-        self._in_time, self._late, self._shed = (DecayingRate(self._span_us) for _ in range(3))
-        self._longest_remaining_us: dict[str, int] = {}  # the most a request of a class came with
+        self._traffic: dict[Flow, Traffic] = context.new_table(context.names_flow)
+        self._in_time, self._late, self._shed = (context.new_rate(self._span_us) for _ in range(3))
+        # The most that a request of a class came with; deadlines may change, so all are forgotten then.
+        self._longest_remaining_us: dict[str, int] = context.new_table(lambda _: False)
+
+    def _span_us(self) -> float:
+        return TRAFFIC_TARGETS * self._context.longest_target_us
 
     def observe(self, latency_ratio: float) -> None:
         """Take in one answer, or an attempt that is late without one."""
@@ -52,10 +51,11 @@
     def _sheds(self, request: Request) -> bool:
         traffic = self._traffic.get(request.flow)
         if traffic is None:
-            traffic = Traffic(request.service_class, request.flow[1], DecayingRate(self._span_us))
+            traffic = Traffic(request.service_class, request.flow[1], DecayingRate(self._span_us()))
             self._traffic[request.flow] = traffic
+        traffic.service_class = request.service_class  # settings may have changed
         traffic.rate.add(self._context.now)
-        if self._probing:
+        if self.probing:
             request.priority = self._priority(traffic)
             return False  # probes will tell
         rate = self._arrivals.per_us(self._context.now)
@@ -76,8 +76,8 @@
         now = self._context.now
         if self._limit.cores is not None and self._limit.cores < CORES_IDLE:
             return False  # late answers from servers with idle cores tell of a few slow ones
-        in_time = self._in_time.per_us(now) * self._span_us + SPARSE_PRIOR
-        missed = (self._late.per_us(now) + self._shed.per_us(now)) * self._span_us
+        in_time = self._in_time.per_us(now) * self._span_us() + SPARSE_PRIOR
+        missed = (self._late.per_us(now) + self._shed.per_us(now)) * self._span_us()
         # What is active tells of a surge before any of it is late; by itself it may be a burst and no more.
         excess = 1.0 - SPARSE_ROOM * in_time / (
             in_time + missed + min(missed, 1.0) * self._context.load.total()
@@ -114,8 +114,8 @@
         return (below + 0.5 * same) / total if total > 0.0 else 0.5
 
     def _worth(self, traffic: Traffic, tenant_rate: float, total: float) -> float:
-        worth, share = traffic.service_class.worth, self._shares.get(traffic.tenant or "")
+        worth, share = traffic.service_class.worth, self._context.tenant_shares.get(traffic.tenant or "")
         if share is None or tenant_rate <= 0.0:
             return worth
-        inside = min(1.0, total * share / self._all_shares / tenant_rate)
+        inside = min(1.0, total * share / self._context.all_shares / tenant_rate)
         return worth * (inside + (1.0 - inside) * self._context.settings.over_share_worth)
--- a/topazbank/policy/concurrency_limit.py
+++ b/topazbank/policy/concurrency_limit.py
@@ -42,6 +42,13 @@
         self._sized_from = 0
         self._served_targets = DecayingRate(context.longest_target_us)  # time allowed to answers, per time
 
+    def rescale(self, factor: float) -> None:
+        """Latency targets are this many times as long: as much more is served within one, at lower ratios."""
+        self.limit = max(self.limit * factor, LEAST_LIMIT)
+        self.latency_ratio = min(self.latency_ratio / factor, 1.0)
+        if self._baseline is not None:
+            self._baseline = min(self._baseline / factor, 1.0)
+
     def delivered(self, latency_target_us: int) -> None:
         self._served_targets.add(self._context.now, latency_target_us)
 
--- a/topazbank/policy/latency.py
+++ b/topazbank/policy/latency.py
@@ -15,8 +15,10 @@
 
     def __init__(self, context: Context) -> None:
         self._context = context
-        self._usual_us: dict[tuple[str, int], float] = {}  # by class and size
-        self._mean_cost_us: dict[str, float] = {}  # by class
+        self._usual_us: dict[tuple[str, int], float] = context.new_table(  # by class and size
+            lambda kind: context.names_class(kind[0])
+        )
+        self._mean_cost_us: dict[str, float] = context.new_table(context.names_class)  # by class
 
     def relative_cost(self, service_class: ServiceClass, cost_us: int | None) -> float:
         """The cost of a new request relative to the mean of its class."""
--- a/topazbank/policy/outliers.py
+++ b/topazbank/policy/outliers.py
@@ -47,21 +47,16 @@
         server = attempt.server
         if outcome is Outcome.EXPIRED and server.last_answer_at > attempt.sent_at:
             return  # it is slow, not failing: it answered others meanwhile
-        if (
-            outcome in (Outcome.EXPIRED, Outcome.DIAL_FAILED)
-            and self._context.is_catching_up()
-            and not half_open
-        ):
-            return  # this balancer was slow
+        own_delay = outcome in (Outcome.EXPIRED, Outcome.DIAL_FAILED) and self._context.is_catching_up()
+        if own_delay and not half_open:
+            return
         server.consecutive_failures += 1
         dials = server.consecutive_failed_dials + 1 if outcome is Outcome.DIAL_FAILED else 0
         server.consecutive_failed_dials = dials
         if half_open or (server.consecutive_failures >= FAILURES_TO_EJECT and server.ejected_until is None):
             self.eject(server, outcome.value)
             if dials >= (1 if half_open else FAILURES_TO_EJECT):  # broken connections alone prove nothing
-                self._slow_start.begin(
-                    server, self._context.now
-                )  # it may be back before the registry says so
+                self._slow_start.begin(server, self._context.now)  # the registry may tell of it later
 
     def eject(self, server: Server, reason: str, max_share: float = MAX_EJECTED) -> None:
         """Send nothing to a server for a while, unless too large a share is ejected already."""
--- a/topazbank/policy/overdue.py
+++ b/topazbank/policy/overdue.py
@@ -13,9 +13,7 @@
 LEAST_TARGETS = 0.1  # but never less than this part of the latency target: short times are all jitter
 SILENT_TIMES = 2.0  # overdue again by this factor, an unanswering server is taken for silent
 SILENT_TARGETS = 0.5  # but never before this part of the target
-PEER_ANSWERS = (
-    4  # answers from others, since the overdue attempt left, that make its server's silence its own
-)
+PEER_ANSWERS = 4  # answers from others since the overdue attempt left: its server's silence is its own
 
 
 @dataclass(slots=True, eq=False)
--- a/topazbank/policy/probing.py
+++ b/topazbank/policy/probing.py
@@ -14,9 +14,7 @@
 
 MAX_SPEND = 0.01  # probes for a request may cost this part of its worth
 WAIT_PROBE_TIMES = 3.0  # a tie waits this many usual probe times for its probes
-MAX_WAIT_TARGETS = (
-    0.05  # and never longer than this part of the latency target: the usual is not known at first
-)
+MAX_WAIT_TARGETS = 0.05  # and never longer than this part of the target: the usual is not known at first
 PROBE_TIME_STEP = 0.1  # the usual probe time follows the last ten or so
 COST_GAIN = 2.0  # a crossing or a new connection must spare this many times its price, in latency targets
 CROSSING_LEAST = 0.1  # cheaper crossings than this go by weights
@@ -42,6 +40,11 @@
     return COST_GAIN * settings.prices.cross_zone
 
 
+def is_crossing_dear(settings: Settings) -> bool:
+    """Whether a crossing has to pay for itself; else crossings go by weights."""
+    return crossing_cost(settings) >= CROSSING_LEAST
+
+
 @dataclass(slots=True, eq=False)
 class Prober:
     """Holds requests while their candidates are probed, and picks the least loaded."""
--- a/topazbank/policy/refresh.py
+++ b/topazbank/policy/refresh.py
@@ -17,7 +17,6 @@
         self.due: int | None = None  # when the registry is asked next; None while the watch is answered
         self.failed_calls = 0  # in a row
         self._context = context
-        self._allowed_us = min(context.settings.rules.ask_within_us, KNOWN_WITHIN_US)
 
     def watch(self) -> None:
         if self._context.settings.discovery is Discovery.ON_REQUEST:
@@ -36,5 +35,6 @@
 
     def _ask_after(self, share: float) -> None:
         """Ask after this share of the time allowed, in place of any earlier plan."""
-        self.due = self._context.now + int(share * self._allowed_us)
+        allowed_us = min(self._context.settings.rules.ask_within_us, KNOWN_WITHIN_US)
+        self.due = self._context.now + int(share * allowed_us)
         self._context.timers.add(self.due, RegistryPoll())
--- a/topazbank/policy/selection.py
+++ b/topazbank/policy/selection.py
@@ -23,7 +23,7 @@
     context: Context
     slow_start: SlowStart
     limit: ConcurrencyLimit
-    local_first: bool  # servers of other zones are candidates only where the local ones are crowded
+    local_first: bool = False  # servers of other zones are candidates only where the local ones are crowded
     _remote_weight: float = 1.0  # as of _remote_weight_at
     _remote_weight_at: int = -1
 
--- a/topazbank/policy/slow_start.py
+++ b/topazbank/policy/slow_start.py
@@ -3,7 +3,7 @@
 import math
 
 from topazbank.policy.sparsity import subset_size
-from topazbank.state import Context, DecayingRate, Server
+from topazbank.state import Context, Server
 
 BUDGET_FILL = 0.15  # part of the overloading rate at which a cold budget fills: its true size is not known
 BUDGET_BURST = 0.18  # part of what overloads a server that may be sent at once
@@ -15,14 +15,15 @@
 
     def __init__(self, context: Context) -> None:
         self._context = context
-        self._rules = context.settings.rules
-        span_us = RATE_SPANS * self._rules.overload_window_us
-        self.arrivals, self._served_warm = DecayingRate(span_us), DecayingRate(span_us)
+        self.arrivals, self._served_warm = (context.new_rate(self._span_us) for _ in range(2))
         self._capacity = 0.0  # what a warm server of mean size serves for this balancer, as of _capacity_at
         self._capacity_at = -1
         self._last_warm_capacity = math.inf  # the same, when any were warm last; all may be cold by now
         self._mean_nominal = 1.0
 
+    def _span_us(self) -> float:
+        return RATE_SPANS * self._context.settings.rules.overload_window_us
+
     def begin(self, server: Server, since: int) -> None:
         """The server is cold since then, and its budget empty."""
         server.cold_since = since
@@ -31,15 +32,15 @@
 
     def is_cold(self, server: Server) -> bool:
         since = server.cold_since
-        return since is not None and self._context.now < since + self._rules.slow_start_us
+        return since is not None and self._context.now < since + self._context.settings.rules.slow_start_us
 
     def warmth(self, server: Server) -> float:
         """The least share of its capacity that the server has by now."""
         if server.cold_since is None or not self.is_cold(server):
             return 1.0
         age_us = max(self._context.now - server.cold_since, 0)
-        least = self._rules.slow_start_from
-        return least + (1.0 - least) * age_us / self._rules.slow_start_us
+        least = self._context.settings.rules.slow_start_from
+        return least + (1.0 - least) * age_us / self._context.settings.rules.slow_start_us
 
     def answered(self, server: Server, cost: float) -> None:
         """Count what a warm server served: by cost, as overload lets only light requests through."""
@@ -53,8 +54,8 @@
         capacity = self.warm_capacity()
         if self._mean_nominal > 0.0:
             capacity *= min(server.nominal / self._mean_nominal, 1.0)
-        limit = self._rules.overload_multiple * self.warmth(server) * capacity
-        most = max(1.0, BUDGET_BURST * limit * self._rules.overload_window_us)
+        limit = self._context.settings.rules.overload_multiple * self.warmth(server) * capacity
+        most = max(1.0, BUDGET_BURST * limit * self._context.settings.rules.overload_window_us)
         filled = BUDGET_FILL * limit * max(self._context.now - server.cold_budget_at, 0)
         server.cold_budget = min(server.cold_budget + filled, most)
         server.cold_budget_at = self._context.now
@@ -66,9 +67,7 @@
         if self._capacity_at != now:
             self._capacity_at = now
             warm = [each for each in self._context.registry.ready if not self.is_cold(each)]
-            peers = (
-                warm or self._context.registry.ready
-            )  # ejected ones too: they served a part of what is counted
+            peers = warm or self._context.registry.ready  # ejected too: they served part of what is counted
             served = self._served_warm if warm else self.arrivals
             share = served.per_us(now) / max(min(len(peers), subset_size(self._context.load)), 1)
             self._last_warm_capacity = share if warm else self._last_warm_capacity
--- a/topazbank/state/context.py
+++ b/topazbank/state/context.py
@@ -2,32 +2,88 @@
 
 import random
 from collections.abc import Callable
+from typing import Any, TypeVar
 
-from topazbank.interface import Action, Event, TimerFired
-from topazbank.settings import Settings
+from topazbank.interface import Action, Event, Outcome, TimerFired
+from topazbank.settings import ServiceClass, Settings
 from topazbank.state.load import ActiveLoad
+from topazbank.state.records import Flow
 from topazbank.state.registry import ServerRegistry
+from topazbank.state.statistics import DecayingRate
 from topazbank.state.timers import StallCheck, Timer, TimerQueue
 
+NEVER_RAN = frozenset((Outcome.DIAL_FAILED, Outcome.UNSENT))  # prove that an attempt did not run
+
+Key = TypeVar("Key")
+Value = TypeVar("Value")
+
 
 class Context:
     """What all parts of the policy share; times are in microseconds."""
 
     def __init__(self, settings: Settings, rng: random.Random, stall_check_targets: float) -> None:
-        self.settings = settings
         self.rng = rng
-        self.registry = ServerRegistry(settings.zone, rng)
+        self.registry = ServerRegistry(rng)
         self.load = ActiveLoad(self)
         self.timers = TimerQueue()
         self.actions: list[Action] = []  # to carry out for this event
         self.now = 0
-        targets_us = [each.latency_target_us for each in settings.classes]
-        self.longest_target_us = max(targets_us)
         self.stalled_us = 0  # in all stalls together
         self.caught_up_at = -1  # by when what came during the last stall has been handled
         self.stall_check_due = 0  # 0: no check is set
-        self._stall_check_us = max(int(stall_check_targets * min(targets_us)), settings.tick_us)
+        self._stall_check_targets = stall_check_targets
         self._resumed_at = -1
+        self._tables: list[tuple[dict[Any, Any], Callable[[Any], bool]]] = []
+        self._rates: list[tuple[DecayingRate, Callable[[], float]]] = []
+        self.adopt(settings)
+
+    def adopt(self, settings: Settings) -> None:
+        """Go by these settings from now on, with what follows from them alone.
+
+        What is kept of classes and tenants that are gone is forgotten; rates go on over new spans.
+        """
+        self.settings = settings
+        self.classes = {each.name: each for each in settings.classes}
+        self._has_ordered_class = any(each.ordered_by_key for each in settings.classes)
+        self.tenant_shares = {each.name: each.share for each in settings.tenants}
+        self.all_shares = sum(self.tenant_shares.values()) or 1.0
+        self.never_ran = NEVER_RAN if settings.rules.late_shedding else NEVER_RAN | {Outcome.FULL}
+        targets_us = [each.latency_target_us for each in settings.classes]
+        self.longest_target_us = max(targets_us)
+        self._stall_check_us = max(int(self._stall_check_targets * min(targets_us)), settings.tick_us)
+        self.registry.set_local_zone(settings.zone)
+        backoffs = [(server.backoff, self.names_flow) for server in self.registry.servers.values()]
+        for table, is_kept in (*self._tables, *backoffs):
+            for key in [each for each in table if not is_kept(each)]:
+                del table[key]
+        for rate, span_us in self._rates:
+            rate.set_span(span_us())
+
+    def class_named(self, name: str, remaining_us: int) -> ServiceClass:
+        """The class of this name; of one that the settings do not name the least is assumed."""
+        known = self.classes.get(name)
+        allowed_us = max(remaining_us, 1)
+        return known or ServiceClass(name, allowed_us, allowed_us, ordered_by_key=self._has_ordered_class)
+
+    def names_class(self, name: str) -> bool:
+        """Whether the settings name this class."""
+        return name in self.classes
+
+    def names_flow(self, flow: Flow) -> bool:
+        """Whether the settings name this class and tenant."""
+        return flow[0] in self.classes and (flow[1] is None or flow[1] in self.tenant_shares)
+
+    def new_table(self, is_kept: Callable[[Key], bool]) -> dict[Key, Value]:
+        """A table by class or tenant; entries that are not to be kept go as the settings change."""
+        table: dict[Key, Value] = {}
+        self._tables.append((table, is_kept))
+        return table
+
+    def new_rate(self, span_us: Callable[[], float]) -> DecayingRate:
+        """A rate whose span follows from the settings."""
+        rate = DecayingRate(span_us())
+        self._rates.append((rate, span_us))
+        return rate
 
     def begin(self, now: int, event: Event) -> None:
         """Turn to the next event; a stall check that is late by more than its interval tells of a stall.
--- a/topazbank/state/records.py
+++ b/topazbank/state/records.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import NamedTuple
 
-from topazbank.interface import ServerState
-from topazbank.settings import ServiceClass
+from topazbank.interface import Outcome, ServerState
+from topazbank.settings import Limits, ServiceClass
 from topazbank.state.statistics import DecayingRate
 
 Flow = tuple[str, str | None]  # the class and tenant of a request
@@ -80,6 +80,8 @@
     flow: Flow
     all_zones: bool  # whether servers of all zones are candidates
     size: int  # class of costs, by powers of two
+    limits: Limits = field(default_factory=Limits)  # the strictest that held since it was accepted
+    never_ran: frozenset[Outcome] = frozenset()  # what proved in all that time that an attempt did not run
     key: int | None = None  # where its class is ordered by key
     attempts: list[Attempt] = field(default_factory=list)
     failed_servers: list[Server] = field(default_factory=list)  # full ones included
@@ -89,6 +91,16 @@
     probes_due: int = 0
     priority: float = 0.5  # the part of the traffic that is worth less
 
+    def restrict(self, limits: Limits, never_ran: frozenset[Outcome]) -> None:
+        """Other settings hold: what they forbid is forbidden from now on, what they newly allow is not."""
+        self.limits = replace(
+            limits,
+            max_attempts=min(self.limits.max_attempts, limits.max_attempts),
+            allow_hedging=self.limits.allow_hedging and limits.allow_hedging,
+            allow_cancel=self.limits.allow_cancel and limits.allow_cancel,
+        )
+        self.never_ran &= never_ran
+
     def is_active(self) -> bool:
         """Whether an attempt has not ended yet."""
         return any(each.pending for each in self.attempts)
--- a/topazbank/state/registry.py
+++ b/topazbank/state/registry.py
@@ -9,13 +9,18 @@
 class ServerRegistry:
     """The servers listed, and those gone that still have attempts."""
 
-    def __init__(self, local_zone: str, rng: random.Random) -> None:
+    def __init__(self, rng: random.Random) -> None:
         self.servers: dict[str, Server] = {}  # by name
         self.ready: list[Server] = []  # by rank
         self.ready_local: list[Server] = []  # of these, the ones in the local zone
-        self._local_zone = local_zone
+        self._local_zone = ""
         self._rng = rng
 
+    def set_local_zone(self, zone: str) -> None:
+        """This balancer is in this zone from now on."""
+        self._local_zone = zone
+        self.ready_local = [each for each in self.ready if each.zone == zone]
+
     def apply(self, update: RegistryUpdated) -> list[Server]:
         """Take over a list or changes of it; give the servers whose process is a new one."""
         if update.kind is not RegistryUpdateKind.DELTA:
