Start the control experiments' sidecars as the other experiments do

Starting a sidecar and picking its port stood twice in the rig. A port that was let go could be taken by one of the thousands of connections that hollow sidecars make: it is reserved now from before the first process on. tests/scale/test_control.py passes.

--- a/scale/control/processes.py
+++ b/scale/control/processes.py
@@ -2,10 +2,7 @@
 
 from __future__ import annotations
 
-import json
-import os
 import signal
-import socket
 import subprocess
 import time
 from collections.abc import Callable
@@ -25,6 +22,7 @@
 )
 from scale.errors import ScaleError
 from scale.processes import ManagedProcess, ProcessGroup
+from scale.sidecar_process import format_address, start_sidecar, write_config
 from scale.standins.change_log import Endpoint
 from scale.standins.fleet import make_endpoints, zone_name
 from scale.standins.registry import Address
@@ -105,11 +103,11 @@
         self.processes: list[ManagedProcess] = []
         for first in range(0, count, experiment.hollow_per_process):
             index = len(self.processes)
-            host, port = registry.address(registry.hollow_listener(index % len(HALVES), moved=False))
+            discovery = registry.address(registry.hollow_listener(index % len(HALVES), moved=False))
             command = python_command(
                 "scale.control.hollow",
                 *("--count", min(experiment.hollow_per_process, count - first)),
-                *("--discovery", f"{host}:{port}"),
+                *("--discovery", format_address(discovery)),
                 *("--zone", zone_name(index % experiment.zones)),
                 *("--seed", experiment.seed + index),
             )
@@ -144,40 +142,36 @@
     """One `python -m topazbank` process."""
 
     def __init__(
-        self, group: ProcessGroup, registry: Registry, experiment: ControlExperiment, index: int, folder: Path
+        self,
+        group: ProcessGroup,
+        registry: Registry,
+        experiment: ControlExperiment,
+        index: int,
+        listen: Address,
+        folder: Path,
     ) -> None:
         self._registry = registry
         self._index = index
-        self._path = folder / f"sidecar-{index}.json"
-        self._given: dict[str, Any] = {
+        self._folder = folder / f"sidecar-{index}"
+        self._folder.mkdir()
+        self._config: dict[str, Any] = {
             "name": f"n{index}",
-            "listen": f"127.0.0.1:{_free_port()}",
+            "listen": format_address(listen),
             "seed": f"{experiment.seed + index:x}",
             "settings": sidecar_settings(zone_name(index % experiment.zones)),
         }
-        self._write(moved=False)
-        environment = {name: value for name, value in os.environ.items() if not name.startswith("RELAY_")}
-        environment["RELAY_CONFIG"] = str(self._path)
-        self.process = group.start(python_command("topazbank"), environment)
+        self.process = start_sidecar(group, self._config_at(moved=False), self._folder)
 
-    def _write(self, moved: bool) -> None:
-        host, port = self._registry.address(self._registry.real_listener(self._index, moved))
-        self._path.write_text(json.dumps(self._given | {"discovery": f"{host}:{port}"}), encoding="utf-8")
+    def _config_at(self, moved: bool) -> dict[str, Any]:
+        address = self._registry.address(self._registry.real_listener(self._index, moved))
+        return self._config | {"discovery": format_address(address)}
 
     def move(self, moved: bool) -> None:
         """Move it to its other address, or back, by its configuration and SIGHUP."""
-        self._write(moved)
+        write_config(self._config_at(moved), self._folder)
         self.process.popen.send_signal(signal.SIGHUP)
 
 
-def _free_port() -> int:
-    """A port of loopback that the kernel picks and nobody has: the sidecar wants to be told one."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        port: int = probe.getsockname()[1]
-        return port
-
-
 def wait_for(condition: Callable[[], bool], within_s: float) -> bool:
     """Wait until a condition holds, and say whether it came to."""
     give_up_at = time.monotonic() + within_s
--- a/scale/control/run.py
+++ b/scale/control/run.py
@@ -6,7 +6,7 @@
 import tempfile
 import time
 from collections.abc import Iterator
-from contextlib import contextmanager
+from contextlib import ExitStack, contextmanager
 from dataclasses import dataclass
 from pathlib import Path
 from threading import Event, Thread
@@ -25,6 +25,7 @@
     write_usage,
 )
 from scale.control.processes import ControlTimeoutError, HollowGroup, RealSidecar, Registry, wait_for
+from scale.ports import ReservedAddress
 from scale.processes import ProcessGroup
 from scale.results import ResultWriter
 from scale.standins.registry_process import ChangeEndpoints, Committed
@@ -46,12 +47,16 @@
 
 @contextmanager
 def _started_fleet(experiment: ControlExperiment, servers: int, hollow: int) -> Iterator[Fleet]:
-    with ProcessGroup() as group, tempfile.TemporaryDirectory() as folder:
+    with ExitStack() as stack:
+        folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
+        # Held from before the first process on: the connections of thousands of sidecars use up ports.
+        listen = [stack.enter_context(ReservedAddress()) for _ in range(experiment.real_sidecars)]
+        group = stack.enter_context(ProcessGroup())
         registry = Registry(group, experiment, servers)
         hollow_group = HollowGroup(group, registry, experiment, hollow)
         real = [
-            RealSidecar(group, registry, experiment, index, Path(folder))
-            for index in range(experiment.real_sidecars)
+            RealSidecar(group, registry, experiment, index, reserved.address, folder)
+            for index, reserved in enumerate(listen)
         ]
         yield Fleet(experiment, registry, hollow_group, real)
 
--- a/scale/sidecar_process.py
+++ b/scale/sidecar_process.py
@@ -38,12 +38,18 @@
     return f"{address[0]}:{address[1]}"
 
 
+def write_config(config: Mapping[str, Any], folder: Path) -> Path:
+    """Write the configuration that a sidecar of this folder reads at its start and on SIGHUP."""
+    path = folder / "config.json"
+    path.write_text(json.dumps(config), encoding="utf-8")
+    return path
+
+
 def start_sidecar(
     group: ProcessGroup, config: Mapping[str, Any], folder: Path, program: Sequence[str] = PROGRAM
 ) -> ManagedProcess:
     """Start a sidecar whose configuration and log stand in the folder."""
-    path = folder / "config.json"
-    path.write_text(json.dumps(config), encoding="utf-8")
+    path = write_config(config, folder)
     inherited = {name: value for name, value in os.environ.items() if not name.startswith("RELAY_")}
     with log_path(folder).open("wb") as log:
         return group.start(program, inherited | {"RELAY_CONFIG": str(path)}, stderr=log)
