--- a/topazbank/balancer.py
+++ b/topazbank/balancer.py
@@ -188,6 +188,7 @@
         )
         request.attempts.append(attempt)
         self._context.load.change(server, 1)
+        self._admission.sent(request.service_class.latency_target_us)
         server.idle_connections = max(server.idle_connections - 1, 0)
         if server.ejected_until is not None:
             server.half_open_attempt = attempt
@@ -237,7 +238,7 @@
         attempt.pending = False
         attempt.may_have_run = event.outcome not in self._never_ran
         self._key_order.attempt_ended(request, event.outcome)
-        self._context.load.change(attempt.server, -1)
+        self._context.load.change(attempt.server, -1, attempt.within_target)
         if event.outcome in CONNECTED:
             self._connections.add(attempt.server)
         self._outliers.attempt_ended(request, attempt, event.outcome)
@@ -257,9 +258,8 @@
             case Outcome.EXPIRED | Outcome.CANCELLED:
                 if not (attempt.counted_late or request.answered or event.answered):
                     self._admission.count_late()
-                self._context.load.abandon(
-                    server, self._context.now + elapsed_us
-                )  # for as long as it was waited for
+                until = self._context.now + elapsed_us  # for as long as it was waited for
+                self._context.load.abandon(server, until, attempt.within_target)
                 usual_us = self._latency.usual_us(request) * server.latency_weight
                 if elapsed_us > usual_us and not catching_up:
                     self._latency.weigh(request, server, elapsed_us)
--- a/topazbank/policy/admission.py
+++ b/topazbank/policy/admission.py
@@ -2,7 +2,7 @@
 
 import math
 
-from topazbank.policy.concurrency_limit import FREE_FILL, ConcurrencyLimit
+from topazbank.policy.concurrency_limit import ALLOWED_RATIO, FREE_FILL, ConcurrencyLimit
 from topazbank.policy.sparsity import FEW_ACTIVE
 from topazbank.settings import ServiceClass
 from topazbank.state import Context, DecayingRate, Flow, Request, Traffic
@@ -34,13 +34,21 @@
         self._traffic: dict[Flow, Traffic] = {}
         self._span_us = TRAFFIC_TARGETS * context.longest_target_us
         self._in_time, self._late, self._shed = (DecayingRate(self._span_us) for _ in range(3))
+        self._sample_due = 0  # when a request is admitted for its latency alone, however full the limit is
+        self._found_room = False  # whether an answer was quick and nothing was sent since
         self._longest_remaining_us: dict[str, int] = {}  # the most a request of a class came with
 
     def observe(self, latency_ratio: float) -> None:
         """Take in one answer, or an attempt that is late without one."""
+        self._found_room = self._found_room or latency_ratio <= ALLOWED_RATIO
         (self._in_time if latency_ratio <= 1.0 else self._late).add(self._context.now)
         self._limit.observe(latency_ratio)
 
+    def sent(self, latency_target_us: int) -> None:
+        """Take in that an attempt was sent: it is the latest sample until it is answered or late."""
+        self._sample_due = self._context.now + latency_target_us
+        self._found_room = False
+
     def count_late(self) -> None:
         """Count an attempt that ended late without an answer."""
         self._late.add(self._context.now)
@@ -58,11 +66,13 @@
         if self._probing:
             request.priority = self._priority(traffic)
             return False  # probes will tell
+        if self._found_room:
+            return False
         rate = self._arrivals.per_us(self._context.now)
         if max(rate * self._context.longest_target_us, self._context.load.total()) < FEW_ACTIVE / 2:
             return self._sheds_by_count(traffic)
         fill = self._limit.fill()
-        if fill <= FREE_FILL:
+        if fill <= FREE_FILL or self._context.now >= self._sample_due:
             return False
         pressure = STEEPNESS * (fill - FREE_FILL) / (1.0 - FREE_FILL)
         admitted = math.exp(-PRIORITY_WEIGHT * pressure * (1.0 - self._priority(traffic)))
--- a/topazbank/policy/outliers.py
+++ b/topazbank/policy/outliers.py
@@ -47,11 +47,8 @@
         server = attempt.server
         if outcome is Outcome.EXPIRED and server.last_answer_at > attempt.sent_at:
             return  # it is slow, not failing: it answered others meanwhile
-        if (
-            outcome in (Outcome.EXPIRED, Outcome.DIAL_FAILED)
-            and self._context.is_catching_up()
-            and not half_open
-        ):
+        timed_out = outcome in (Outcome.EXPIRED, Outcome.DIAL_FAILED)
+        if timed_out and self._context.is_catching_up() and not half_open:
             return  # this balancer was slow
         server.consecutive_failures += 1
         dials = server.consecutive_failed_dials + 1 if outcome is Outcome.DIAL_FAILED else 0
@@ -72,7 +69,7 @@
             if len(self.ejected) + 1 > max_share * known:
                 return
             self.ejected.append(server)
-            self._context.load.at_ejected += server.in_flight
+            self._context.load.at_ejected += server.within_target
             self._context.actions.append(Log(f"ejected {server.name}: {reason}"))
         server.ejected_until, server.ejections = self._back_off(server.ejections)
 
@@ -103,7 +100,7 @@
         if server.ejected_until is not None:
             server.ejected_until = None
             self.ejected.remove(server)
-            self._context.load.at_ejected -= server.in_flight
+            self._context.load.at_ejected -= server.within_target
 
     def half_open_candidate(self, request: Request) -> Server | None:
         """An ejected server comes back by one attempt at a time, with a request that may be repeated."""
--- a/topazbank/state/records.py
+++ b/topazbank/state/records.py
@@ -37,6 +37,7 @@
     cold_budget: float = 0.0  # while cold: what may be sent to it now, in requests of mean cost
     cold_budget_at: int = 0
     in_flight: int = 0
+    within_target: int = 0  # of these, the ones whose latency target has not passed
     abandoned: list[int] = field(default_factory=list)  # when each abandoned attempt stops counting
     idle_connections: int = 0  # by this balancer's own reckoning
     idle_since: int = 0
@@ -63,6 +64,7 @@
     stalled_before_us: int  # how long the balancer had stalled by then, in all
     answers_before: int  # how many answers had come by then, from all servers
     pending: bool = True
+    within_target: bool = True  # until its latency target passes while it is pending
     may_have_run: bool = True  # until an outcome proves that it did not
     started: bool = False  # its answer goes to the client by now
     reported_load: float | None = None  # of its server when it was sent, by a probe
