--- a/scale/configuration/run.py
+++ b/scale/configuration/run.py
@@ -7,6 +7,7 @@
 import tempfile
 import time
 from collections.abc import Callable, Mapping, Sequence
+from contextlib import ExitStack
 from dataclasses import dataclass
 from http import HTTPStatus
 from pathlib import Path
@@ -19,6 +20,7 @@
 from scale.control.delays import new_histogram, record_seconds, seconds_at
 from scale.errors import ScaleError
 from scale.load import CallResult
+from scale.ports import ReservedAddress
 from scale.processes import ManagedProcess, ProcessGroup
 from scale.results import Label, ResultWriter
 from scale.sidecar_process import format_address
@@ -48,15 +50,16 @@
 async def _run_point(
     experiment: ConfigurationExperiment, writer: ResultWriter, servers: int, sidecars: int
 ) -> None:
-    with ProcessGroup() as group, tempfile.TemporaryDirectory() as folder:
+    with ExitStack() as held, ProcessGroup() as group, tempfile.TemporaryDirectory() as folder:
+        listen = [held.enter_context(ReservedAddress()).address for _ in range(sidecars)]
         server = ServerStandin("s-0", lambda: 0.0)
         await server.start()
         registry = group.start(_registry_command(experiment, servers, server), stdout=subprocess.PIPE)
         client = CommandClient(registry.popen)
         discovery = client.ready.addresses[0]
         started = [
-            ConfiguredSidecar(group, Path(folder) / f"n{index}", discovery, experiment.seed + index)
-            for index in range(sidecars)
+            ConfiguredSidecar(group, Path(folder) / f"n{index}", address, discovery, experiment.seed + index)
+            for index, address in enumerate(listen)
         ]
         for each in started:
             each.await_ready()
--- a/scale/configuration/sidecar.py
+++ b/scale/configuration/sidecar.py
@@ -13,7 +13,7 @@
 
 from scale.load import Address, CallResult, HttpClient, format_call
 from scale.processes import ProcessGroup
-from scale.sidecar_process import await_ready, free_address, sample_config, start_sidecar
+from scale.sidecar_process import await_ready, sample_config, start_sidecar
 
 KINDS = ("read", "update", "send")  # classes of the sample configuration, one for each idempotency
 _BUDGET_S = 1.5
@@ -26,11 +26,13 @@
 class ConfiguredSidecar:
     """One `python -m topazbank` process."""
 
-    def __init__(self, group: ProcessGroup, folder: Path, discovery: Address, seed: int) -> None:
+    def __init__(
+        self, group: ProcessGroup, folder: Path, listen: Address, discovery: Address, seed: int
+    ) -> None:
         folder.mkdir()
         self._folder = folder
-        self.listen = free_address()
-        self._config = sample_config(self.listen, discovery) | {"seed": f"{seed:x}", "version": 1}
+        self.listen = listen
+        self._config = sample_config(listen, discovery) | {"seed": f"{seed:x}", "version": 1}
         for each in self._config["settings"]["lanes"]:
             each["promiseUs"] = each["giveUpUs"]  # requests that are held for the experiment are not late
         self.process = start_sidecar(group, self._config, folder)
--- a/scale/sidecar_process.py
+++ b/scale/sidecar_process.py
@@ -5,7 +5,6 @@
 import http.client
 import json
 import os
-import socket
 import sys
 import time
 from collections.abc import Mapping, Sequence
@@ -39,20 +38,18 @@
     return f"{address[0]}:{address[1]}"
 
 
-def free_address() -> Address:
-    """A loopback address whose port the kernel has just picked; nothing else is likely to take it soon."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        host, port = probe.getsockname()
-    return host, port
+def write_config(config: Mapping[str, Any], folder: Path) -> Path:
+    """Write the configuration that a sidecar of this folder reads at its start and on SIGHUP."""
+    path = folder / "config.json"
+    path.write_text(json.dumps(config), encoding="utf-8")
+    return path
 
 
 def start_sidecar(
     group: ProcessGroup, config: Mapping[str, Any], folder: Path, program: Sequence[str] = PROGRAM
 ) -> ManagedProcess:
     """Start a sidecar whose configuration and log stand in the folder."""
-    path = folder / "config.json"
-    path.write_text(json.dumps(config), encoding="utf-8")
+    path = write_config(config, folder)
     inherited = {name: value for name, value in os.environ.items() if not name.startswith("RELAY_")}
     with log_path(folder).open("wb") as log:
         return group.start(program, inherited | {"RELAY_CONFIG": str(path)}, stderr=log)
--- a/tests/test_registry_crossings.py
+++ b/tests/test_registry_crossings.py
@@ -5,11 +5,12 @@
 import asyncio
 import json
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 import pytest
 from helpers import S
-from loopback import FakeServer, World, answer, ask, read_answer, request, reset, until, world
+from loopback import FakeServer, World, answer, ask, hung, read_answer, request, reset, served, until, world
 from warped import STEP_S, Service, now_s, pass_s, play_warped, told_within
 
 from topazbank.interface import ServerState
@@ -18,14 +19,7 @@
 TOLD_S = 6.0  # after a watch fell silent, or discovery has a change and can be reached
 RELOADED_S = 4.0  # after SIGHUP, what discovery's new place has counts as told
 RULES = {"ask_within_us": 60 * S}
-
-
-def served(*_: object) -> bytes:
-    return answer(200, b"served")
-
-
-def hung(*_: object) -> None:
-    return None
+MODES = ("on_request", "pushed")  # how discovery tells, by the settings
 
 
 async def gone_within(w: World, limit_s: float, began: float) -> None:
@@ -46,16 +40,21 @@
     assert len(w.servers[0].requests) == seen
 
 
+def has_sent(w: World, count: int) -> bool:
+    """Whether so many requests have come to servers."""
+    return len(w.sent()) == count
+
+
 async def hold_at_first(w: World) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
     """A request that is out at s-0, which does not answer yet."""
     first = w.servers[0]
     first.script = hung
+    before = len(first.requests)
     for number in range(200):
-        reader, writer = await asyncio.open_connection(*w.sidecar.frontend.address)
+        reader, writer = await w.connect()
         writer.write(request("pay", body=b"held", budget="500", X_Call_Id=f"held-{number}"))
-        sent = len(w.sent()) + 1
-        await until(lambda sent=sent: len(w.sent()) == sent)  # type: ignore[misc]
-        if first.requests:
+        await until(partial(has_sent, w, len(w.sent()) + 1))
+        if len(first.requests) > before:
             return reader, writer
         assert (await read_answer(reader))[0] == 200
         writer.close()
@@ -65,23 +64,24 @@
 # -- A reload x a drain
 
 
+@pytest.mark.parametrize("mode", MODES)
 @pytest.mark.parametrize("reload_first", [True, False])
 def test_a_drain_is_applied_in_time_where_a_reload_moves_discovery(
-    reload_first: bool, service: Callable[[], Service]
+    reload_first: bool, mode: str, service: Callable[[], Service]
 ) -> None:
     async def scene() -> None:
         former, latter = service(), service()
         await latter.start()
-        async with world(hung, served, service=former, rules=RULES) as w:
+        async with world(hung, served, service=former, rules=RULES, discovery=mode) as w:
             reader, writer = await hold_at_first(w)
             leaving = w.servers[0].entry(status="leaving")
             if not reload_first:
-                await former.change(leaving)  # its watch has had no turn to tell of it
-                await latter.change(leaving)
+                await latter.change(leaving)  # and the former place never hears of it
             w.sidecar.move_discovery(latter.address)
             began = now_s()
             if reload_first:
-                await until(lambda: latter.targets)
+                await pass_s(STEP_S)
+                assert latter.targets[0] == "/registry/instances"  # asked at once, for the whole list
                 await latter.change(leaving)
             await told_within(w, RELOADED_S, began)
             await nothing_more_reaches_the_first(w)
@@ -126,14 +126,15 @@
 # -- A silence that begins late
 
 
+@pytest.mark.parametrize("mode", MODES)
 @pytest.mark.parametrize("missed_after_s", [0.0, 1.0, 2.4, 3.9, 5.0])
 @pytest.mark.parametrize("open_for_s", [0.0, 1.5, 3.1])
 def test_a_change_missed_by_a_watch_that_falls_silent_after_telling_others_is_applied_in_time(
-    open_for_s: float, missed_after_s: float, service: Callable[[], Service]
+    open_for_s: float, missed_after_s: float, mode: str, service: Callable[[], Service]
 ) -> None:
     async def scene() -> None:
         there = service()
-        async with world(served, served, service=there, rules=RULES) as w:
+        async with world(served, served, service=there, rules=RULES, discovery=mode) as w:
             weight = 1.0
             for _ in range(3):
                 await pass_s(2.0)
@@ -161,15 +162,20 @@
     drained_first: bool,
 ) -> None:
     async def scene() -> None:
-        async with world(hung, served) as w:
-            reader, writer = await hold_at_first(w)
+        async with world(served, served) as w:
             first, second = w.servers
+            w.sidecar._upstream._rest_s = 600.0  # what is kept from one request is not taken by the next
+            while not first.requests:
+                assert (await w.ask())[0] == 200
+            reader, writer = await hold_at_first(w)
             states = w.sidecar._balancer._context.registry.servers
             if drained_first:
                 w.discovery.say(42, [first.entry(status="leaving")])
                 await until(lambda: states["s-0"].state is ServerState.DRAINING)
+                await until(lambda: first.closed == len(first.writers) - 1)  # none at rest is kept
             w.discovery.say(43, [second.entry()], snapshot=True)
             await gone_within(w, TOLD_S, now_s())
+            await until(lambda: first.closed == len(first.writers) - 1)
             first.script = served  # it still listens, and would answer
             await nothing_more_reaches_the_first(w)
             first.writers[-1].write(answer(200, b"late"))
@@ -226,20 +232,23 @@
                 writer.close()
 
     async def _answer(self, target: str) -> bytes:
-        if f"after={self.version}&" in target and "wait_ms=0" not in target:
-            await asyncio.Event().wait()
+        if f"after={self.version}&" in target:
+            return await super()._answer(target)
         told = {"index": self.version, "snapshot": True, "endpoints": self.listed}
         return answer(200, json.dumps(told, indent=2).encode())
 
 
+@pytest.mark.parametrize("mode", MODES)
 @pytest.mark.parametrize("how", ["reset", "503", "half an answer", "end"])
-def test_a_watch_ends_instead_of_telling_and_the_whole_list_leaves_out_what_drains(how: str) -> None:
+def test_a_watch_ends_instead_of_telling_and_the_whole_list_leaves_out_what_drains(
+    how: str, mode: str
+) -> None:
     async def scene() -> None:
         there = EndingService()
         there.how = how
-        async with world(served, served, service=there, rules=RULES) as w:
+        async with world(served, served, service=there, rules=RULES, discovery=mode) as w:
             there.listed = [each.entry() for each in w.servers]
-            await pass_s(1.0)
+            await until(partial(there.called, 2))  # a watch has ended by its time, and the next is out
             await there.change(w.servers[0].entry(status="leaving"))
             await gone_within(w, TOLD_S, now_s())
             await nothing_more_reaches_the_first(w)
--- a/topazbank/balancer.py
+++ b/topazbank/balancer.py
@@ -55,17 +55,17 @@
     def _set_up_probing(self) -> None:
         self._probes = probing.probes_per_tie(self._context.settings)
         self._admission.probing = self._probes > 1
-        self._selector.local_first = self._probes > 1 and probing.is_crossing_dear(self._context.settings)
+        crossings_cost = probing.crossing_cost(self._context.settings) >= probing.CROSSING_LEAST
+        self._selector.local_first = self._probes > 1 and crossings_cost
 
     def _settings_changed(self, settings: Settings) -> None:
         """Go by other settings; requests in progress keep their class, and limits that were stricter."""
-        context, former = self._context, self._context.settings
-        former_target_us = context.longest_target_us
-        context.adopt(settings)
+        former, former_target_us = self._context.settings, self._context.longest_target_us
+        self._context.adopt(settings)
         self._set_up_probing()
-        self._limit.rescale(context.longest_target_us / former_target_us)
+        self._limit.rescale(self._context.longest_target_us / former_target_us)
         for request in self._requests.values():
-            request.restrict(settings.limits, context.never_ran)
+            request.restrict(settings.limits, self._context.never_ran)
         if former.discovery is not settings.discovery:
             self._refresh.watch()
 
@@ -180,10 +180,10 @@
 
     def _send(self, request: Request, server: Server) -> bool:
         """The one way out for an attempt.  Says whether the attempt was allowed and sent."""
-        now, limits = self._context.now, request.limits
+        index, now, limits = len(request.attempts), self._context.now, request.limits
         if request.answered or now >= request.answer_by:
             return False  # rule 1: nothing after the final answer, nothing that cannot be answered in time
-        if len(request.attempts) >= limits.max_attempts or not self._key_order.allows(request):
+        if index >= limits.max_attempts or not self._key_order.allows(request):
             return False
         if not limits.allow_hedging and request.is_active():
             return False  # rule 2
@@ -194,11 +194,10 @@
         if not self._slow_start.has_room(server, request.cost):
             return False  # rule 4
         server.cold_budget -= request.cost  # which counts only while it is cold
-        attempt = Attempt(
-            len(request.attempts), server, now, self._context.stalled_us, self._outliers.answers
-        )
+        attempt = Attempt(index, server, now, self._context.stalled_us, self._outliers.answers)
         request.attempts.append(attempt)
         self._context.load.change(server, 1)
+        self._admission.sent(request.service_class.latency_target_us)
         server.idle_connections = max(server.idle_connections - 1, 0)
         if server.ejected_until is not None:
             server.half_open_attempt = attempt
@@ -248,7 +247,7 @@
         attempt.pending = False
         attempt.may_have_run = event.outcome not in request.never_ran
         self._key_order.attempt_ended(request, event.outcome)
-        self._context.load.change(attempt.server, -1)
+        self._context.load.change(attempt.server, -1, attempt.within_target)
         if event.outcome in CONNECTED:
             self._connections.add(attempt.server)
         self._outliers.attempt_ended(request, attempt, event.outcome)
@@ -268,8 +267,8 @@
             case Outcome.EXPIRED | Outcome.CANCELLED:
                 if not (attempt.counted_late or request.answered or event.answered):
                     self._admission.count_late()
-                # It counts for as long again as it was waited for.
-                self._context.load.abandon(server, self._context.now + elapsed_us)
+                until = self._context.now + elapsed_us  # for as long as it was waited for
+                self._context.load.abandon(server, until, attempt.within_target)
                 usual_us = self._latency.usual_us(request) * server.latency_weight
                 if elapsed_us > usual_us and not catching_up:
                     self._latency.weigh(request, server, elapsed_us)
--- a/topazbank/policy/admission.py
+++ b/topazbank/policy/admission.py
@@ -2,7 +2,7 @@
 
 import math
 
-from topazbank.policy.concurrency_limit import FREE_FILL, ConcurrencyLimit
+from topazbank.policy.concurrency_limit import ALLOWED_RATIO, FREE_FILL, ConcurrencyLimit
 from topazbank.policy.sparsity import FEW_ACTIVE
 from topazbank.settings import ServiceClass
 from topazbank.state import Context, DecayingRate, Flow, Request, Traffic
@@ -29,17 +29,24 @@
         self._context = context
         self._traffic: dict[Flow, Traffic] = context.new_table(context.names_flow)
         self._in_time, self._late, self._shed = (context.new_rate(self._span_us) for _ in range(3))
-        # The most that a request of a class came with; deadlines may change, so all are forgotten then.
-        self._longest_remaining_us: dict[str, int] = context.new_table(lambda _: False)
+        self._sample_due = 0  # when a request is admitted for its latency alone, however full the limit is
+        self._found_room = False  # whether an answer was quick and nothing was sent since
+        self._longest_remaining_us: dict[str, int] = context.new_table(lambda _: False)  # deadlines change
 
     def _span_us(self) -> float:
         return TRAFFIC_TARGETS * self._context.longest_target_us
 
     def observe(self, latency_ratio: float) -> None:
         """Take in one answer, or an attempt that is late without one."""
+        self._found_room = self._found_room or latency_ratio <= ALLOWED_RATIO
         (self._in_time if latency_ratio <= 1.0 else self._late).add(self._context.now)
         self._limit.observe(latency_ratio)
 
+    def sent(self, latency_target_us: int) -> None:
+        """Take in that an attempt was sent: it is the latest sample until it is answered or late."""
+        self._sample_due = self._context.now + latency_target_us
+        self._found_room = False
+
     def count_late(self) -> None:
         """Count an attempt that ended late without an answer."""
         self._late.add(self._context.now)
@@ -58,11 +65,13 @@
         if self.probing:
             request.priority = self._priority(traffic)
             return False  # probes will tell
+        if self._found_room:
+            return False
         rate = self._arrivals.per_us(self._context.now)
         if max(rate * self._context.longest_target_us, self._context.load.total()) < FEW_ACTIVE / 2:
             return self._sheds_by_count(traffic)
         fill = self._limit.fill()
-        if fill <= FREE_FILL:
+        if fill <= FREE_FILL or self._context.now >= self._sample_due:
             return False
         pressure = STEEPNESS * (fill - FREE_FILL) / (1.0 - FREE_FILL)
         admitted = math.exp(-PRIORITY_WEIGHT * pressure * (1.0 - self._priority(traffic)))
@@ -79,9 +88,8 @@
         in_time = self._in_time.per_us(now) * self._span_us() + SPARSE_PRIOR
         missed = (self._late.per_us(now) + self._shed.per_us(now)) * self._span_us()
         # What is active tells of a surge before any of it is late; by itself it may be a burst and no more.
-        excess = 1.0 - SPARSE_ROOM * in_time / (
-            in_time + missed + min(missed, 1.0) * self._context.load.total()
-        )
+        admitted = SPARSE_ROOM * in_time / (in_time + missed + min(missed, 1.0) * self._context.load.total())
+        excess = 1.0 - admitted
         if excess > 0.0 and self._context.rng.random() < 2.0 * excess * (1.0 - self._priority(traffic)):
             self._shed.add(now)
             return True
--- a/topazbank/policy/latency.py
+++ b/topazbank/policy/latency.py
@@ -15,9 +15,7 @@
 
     def __init__(self, context: Context) -> None:
         self._context = context
-        self._usual_us: dict[tuple[str, int], float] = context.new_table(  # by class and size
-            lambda kind: context.names_class(kind[0])
-        )
+        self._usual_us: dict[tuple[str, int], float] = context.new_table(context.names_sized_class)
         self._mean_cost_us: dict[str, float] = context.new_table(context.names_class)  # by class
 
     def relative_cost(self, service_class: ServiceClass, cost_us: int | None) -> float:
--- a/topazbank/policy/probing.py
+++ b/topazbank/policy/probing.py
@@ -40,11 +40,6 @@
     return COST_GAIN * settings.prices.cross_zone
 
 
-def is_crossing_dear(settings: Settings) -> bool:
-    """Whether a crossing has to pay for itself; else crossings go by weights."""
-    return crossing_cost(settings) >= CROSSING_LEAST
-
-
 @dataclass(slots=True, eq=False)
 class Prober:
     """Holds requests while their candidates are probed, and picks the least loaded."""
--- a/topazbank/state/context.py
+++ b/topazbank/state/context.py
@@ -69,6 +69,10 @@
         """Whether the settings name this class."""
         return name in self.classes
 
+    def names_sized_class(self, kind: tuple[str, int]) -> bool:
+        """Whether the settings name the class of this class and size."""
+        return kind[0] in self.classes
+
     def names_flow(self, flow: Flow) -> bool:
         """Whether the settings name this class and tenant."""
         return flow[0] in self.classes and (flow[1] is None or flow[1] in self.tenant_shares)
