--- a/topazbank/state/context.py
+++ b/topazbank/state/context.py
@@ -52,7 +52,8 @@
         self.longest_target_us = max(targets_us)
         self._stall_check_us = max(int(self._stall_check_targets * min(targets_us)), settings.tick_us)
         self.registry.set_local_zone(settings.zone)
-        backoffs = [(server.backoff, self.names_flow) for server in self.registry.servers.values()]
+        servers = self.registry.servers.values()
+        backoffs = [(each.backoff, self.names_flow) for each in servers if each.backoff]
         for table, is_kept in (*self._tables, *backoffs):
             for key in [each for each in table if not is_kept(each)]:
                 del table[key]
