--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -11,6 +11,7 @@
 
 from topazbank.interface import ServerState
 from topazbank.net.discovery import _IDLE_S, Discovery, RegistryResponse, parse_registry
+from topazbank.net.upstream import Upstream
 
 
 def entry(name: Any = "s-1", **changes: Any) -> dict[str, Any]:
@@ -243,3 +244,26 @@
             assert min(w.discovery.called_after_s) >= 0.09
 
     play_warped(scene())
+
+
+def test_an_answer_without_changes_looks_at_no_address(monkeypatch: pytest.MonkeyPatch) -> None:
+    looks: list[int] = []
+    displace = Upstream.displace
+
+    def counted(self: Upstream) -> list[str]:
+        looks.append(1)
+        return displace(self)
+
+    monkeypatch.setattr(Upstream, "displace", counted)
+
+    async def scene() -> None:
+        async with world(lambda *_: answer()) as w:
+            before = len(looks)
+            w.discovery.say(42, [])
+            await until(lambda: w.sidecar._discovery._version == 42)
+            assert len(looks) == before
+            w.discovery.say(43, [w.servers[0].entry(status="leaving")])
+            await until(lambda: w.sidecar._discovery._version == 43)
+            assert len(looks) == before + 1
+
+    play(scene())
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -499,3 +499,16 @@
     for _ in range(40):
         balancer._admission.observe(2.0)  # nearly all late: that is overload, however new the balancer
     assert balancer._limit.limit < float("inf")
+
+
+def test_an_empty_registry_answer_ends_the_wait_for_it_and_goes_through_no_server() -> None:
+    stage = Stage()
+    stage.servers(names(3))
+    stage.play(RegistryUpdated(RegistryUpdateKind.FAILED))
+    context = stage.balancer._context
+    ready = context.registry.ready
+    stage.play(RegistryUpdated(RegistryUpdateKind.DELTA, [], 1))
+    assert context.registry.ready is ready  # not built anew
+    assert stage.balancer._refresh.due is None and not stage.balancer._refresh.failed_calls
+    stage.play(RegistryUpdated(RegistryUpdateKind.SNAPSHOT, [], 1))  # that is another matter: all have gone
+    assert not context.registry.ready
--- a/topazbank/balancer.py
+++ b/topazbank/balancer.py
@@ -93,9 +93,8 @@
                 if (request := self._unanswered(event.request)) is not None:
                     self._close(request)
             case interface.AnswerStarted():
-                request = self._requests.get(event.request)
-                if request is not None and event.attempt < len(request.attempts):
-                    request.attempts[event.attempt].started = True
+                if (request := self._requests.get(event.request)) is not None:
+                    request.answer_started(event.attempt)
             case interface.ProbeEnded():
                 for request in self._prober.probe_ended(event):
                     self._send_probed(request)
@@ -107,9 +106,11 @@
         if update.kind is RegistryUpdateKind.FAILED:
             self._refresh.failed()
             return
-        self._slow_start.warm_capacity()  # all that are warm may be leaving
         if update.kind is not RegistryUpdateKind.CACHED:
             self._refresh.succeeded()
+        if update.is_empty():
+            return  # most watches end so: going through all servers each time would grow with their number
+        self._slow_start.warm_capacity()  # all that are warm may be leaving
         for server in self._context.registry.apply(update):
             self._slow_start.begin(server, server.started_at or 0)
             if server.ejected_until is not None and server.state is ServerState.READY:
@@ -216,11 +217,9 @@
         limits = self._context.settings.limits  # jitter, or those refused at once would be back at once
         back_us = RETRY_AFTER_TARGETS * request.service_class.latency_target_us
         back_us = min(back_us * (0.5 + self._context.rng.random()), limits.max_retry_after_us)
-        if retries.is_harmless_to_client(request):
-            refusal = interface.Refuse(request.ident, int(back_us) if limits.retry_after else 0)
-            self._context.actions.append(refusal)
-        else:
-            self._context.actions.append(interface.Fail(request.ident))
+        refusal = interface.Refuse(request.ident, int(back_us) if limits.retry_after else 0)
+        is_refused = retries.is_harmless_to_client(request)
+        self._context.actions.append(refusal if is_refused else interface.Fail(request.ident))
         self._close(request)
 
     def _close(self, request: Request) -> None:
@@ -238,10 +237,8 @@
 
     def _attempt_ended(self, event: interface.AttemptEnded) -> None:
         request = self._requests.get(event.request)
-        if request is None or event.attempt >= len(request.attempts):
-            return
-        attempt = request.attempts[event.attempt]
-        if not attempt.pending:
+        attempt = None if request is None else request.pending_attempt(event.attempt)
+        if request is None or attempt is None:
             return
         attempt.pending = False
         attempt.may_have_run = event.outcome not in request.never_ran
@@ -342,10 +339,8 @@
                     self._connections.close(server)
                 case timers.RegistryPoll():
                     self._refresh.watch()
-                case (
-                    timers.RequestDeadline(ident) | timers.ProbesDue(ident) | timers.AttemptOverdue(ident, _)
-                ):
-                    self._request_due(self._requests[ident], timer)
+                case timers.RequestDeadline() | timers.ProbesDue() | timers.AttemptOverdue():
+                    self._request_due(self._requests[timer.request], timer)
 
     def _request_due(self, request: Request, timer: timers.Timer) -> None:
         if any(each.started for each in request.attempts):
--- a/topazbank/interface.py
+++ b/topazbank/interface.py
@@ -70,6 +70,10 @@
     servers: Sequence[Endpoint] = ()
     version: int = 0
 
+    def is_empty(self) -> bool:
+        """Whether it says that nothing has changed."""
+        return self.kind is RegistryUpdateKind.DELTA and not self.servers
+
 
 @dataclass(slots=True)
 class SettingsChanged:
--- a/topazbank/net/sidecar.py
+++ b/topazbank/net/sidecar.py
@@ -436,7 +436,8 @@
             server = line.server
             self._upstream.update(server.server, line.address, server.started_at, server.state)
         servers = [line.server for line in told.lines]
-        servers += [Endpoint(name, state=ServerState.GONE) for name in self._upstream.displace()]
+        if servers:
+            servers += [Endpoint(name, state=ServerState.GONE) for name in self._upstream.displace()]
         self.handle(RegistryUpdated(kind, servers, told.version))
 
 
--- a/topazbank/state/records.py
+++ b/topazbank/state/records.py
@@ -111,6 +111,16 @@
         """Whether it is answered and none of its attempts is active."""
         return self.answered and not self.is_active()
 
+    def pending_attempt(self, index: int) -> Attempt | None:
+        """The attempt of this number, if it was sent and has not ended."""
+        attempt = self.attempts[index] if index < len(self.attempts) else None
+        return attempt if attempt is not None and attempt.pending else None
+
+    def answer_started(self, index: int) -> None:
+        """Note that the answer of an attempt goes to the client by now."""
+        if index < len(self.attempts):
+            self.attempts[index].started = True
+
     def may_have_run(self) -> bool:
         """Whether any attempt may have taken effect."""
         return any(each.may_have_run for each in self.attempts)
