--- a/tests/scale/test_callgraph.py
+++ b/tests/scale/test_callgraph.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from pathlib import Path
 from typing import Any
 
 import pytest
@@ -12,6 +13,10 @@
 from scale.callgraph.server import CallResult
 from scale.errors import ExperimentError
 from scale.experiment import validate_experiment
+from scale.kinds import load_experiment, run_experiment
+from scale.results import ResultWriter, read_results
+
+EXPERIMENTS = Path(__file__).resolve().parents[2] / "scale" / "experiments"
 
 SMALL: dict[str, Any] = {
     "name": "small",
@@ -115,3 +120,19 @@
     assert len(set(swept)) == len(swept) == 16
     assert {point.seed for point in swept} == {5, 6}
     assert Fault(share=0.0) in {point.fault for point in swept}
+
+
+def test_small_experiment_writes_the_same_figures_every_time(tmp_path: Path) -> None:
+    experiment = load_experiment(EXPERIMENTS / "callgraph-small.toml")
+    paths = [tmp_path / "first.jsonl", tmp_path / "second.jsonl"]
+    for path in paths:
+        with ResultWriter(path, experiment, commit="abc") as writer:
+            run_experiment(experiment, writer)
+    assert paths[0].read_bytes() == paths[1].read_bytes()
+    metrics = {each.metric for each in read_results(paths[:1])}
+    assert metrics >= {"calls on the deepest service", "goodput", "refused", "time to recover"}
+
+
+@pytest.mark.parametrize("path", sorted(EXPERIMENTS.glob("callgraph-*.toml")), ids=lambda path: path.stem)
+def test_call_graph_experiments_that_are_kept_can_be_run(path: Path) -> None:
+    assert load_experiment(path).name == path.stem
