Add the capacity page, and a command that fills its tables from results files

Cause: the figures of the rig stood in results files alone, beside no size, budget or mechanism.

docs/CAPACITY.md gives for each role what the planned size needs; docs/capacity/figures.toml says which measurements each row takes, and `python -m scale page` works the rows out, so that each can be made again. Plots name the commit of each line, as a file may hold runs of several.

--- a/scale/cli.py
+++ b/scale/cli.py
@@ -11,6 +11,7 @@
 import structlog
 import typer
 
+from scale.capacity import fill_page, read_figures
 from scale.demo import format_outcome, run_demo
 from scale.errors import ScaleError
 from scale.kinds import load_experiment, run_experiment
@@ -23,6 +24,9 @@
 EXIT_FAULT = 1
 EXIT_BAD_INPUT = 2
 
+PAGE = RESULTS.parent.parent / "CAPACITY.md"
+FIGURES = RESULTS.parent / "figures.toml"
+
 app = typer.Typer(no_args_is_help=True, add_completion=False, help="Measure the sidecar at fleet size.")
 log = structlog.get_logger()
 
@@ -82,6 +86,17 @@
     typer.echo(format_slopes(fit_slopes(read_results(results), against), at))
 
 
+@app.command()
+def page(
+    path: Annotated[Path, typer.Argument(help="The page whose tables are filled in.")] = PAGE,
+    figures: Annotated[Path, typer.Option(help="What each table holds (TOML).")] = FIGURES,
+    results: Annotated[Path, typer.Option(help="Folder of the results.")] = RESULTS,
+) -> None:
+    """Fill in the capacity page's tables from results files."""
+    filled = fill_page(path.read_text(encoding="utf-8"), read_figures(figures), results)
+    path.write_text(filled, encoding="utf-8")
+
+
 @app.command()
 def demo(
     duration: Annotated[float, typer.Option(min=3.0, max=60.0, help="Seconds of calls.")] = 6.0,
--- a/scale/report.py
+++ b/scale/report.py
@@ -89,7 +89,7 @@
     for point in points:
         others = [f"{name}={value}" for name, value in point.labels.items() if name != against]
         size = float(point.labels[against])
-        groups[" ".join([point.experiment, *others])].append((size, point.value))
+        groups[" ".join([point.experiment, point.commit, *others])].append((size, point.value))
     figure, axes = plt.subplots(figsize=(8.0, 5.0), layout="constrained")
     for label, pairs in groups.items():
         sizes, values = zip(*sorted(pairs), strict=True)
--- /dev/null
+++ b/tests/scale/test_capacity.py
@@ -0,0 +1,119 @@
+"""The capacity page's tables: which measurements a figure takes, and what it makes of them."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+
+from scale.capacity import Figure, fill_page, find_figure, format_figures, format_number, read_figures
+from scale.cli import FIGURES, PAGE
+from scale.errors import ExperimentError
+from scale.results import Label, Measurement
+
+BYTES = Figure(
+    table="day", what="bytes", results="small", role="sidecar", metric="bytes", carried_by="`net/`"
+)
+MARKS = "before\n<!-- table: day -->\nformer\n<!-- end of table -->\nafter\n"
+
+
+def measured(value: float, commit: str = "new", seed: int = 3, **labels: Label) -> Measurement:
+    return Measurement(
+        experiment="small",
+        kind="control",
+        seed=seed,
+        commit=commit,
+        role="sidecar",
+        metric="bytes",
+        value=value,
+        unit="bytes",
+        labels=labels,
+    )
+
+
+def test_last_run_of_a_file_counts_unless_another_is_asked_for() -> None:
+    measurements = [measured(1.0, "old"), measured(2.0, "new")]
+    latest = find_figure(BYTES, measurements)
+    former = find_figure(BYTES.model_copy(update={"commit": "old"}), measurements)
+    assert latest is not None and (latest.value, latest.run) == (2.0, "small, new, seed 3")
+    assert former is not None and (former.value, former.run) == (1.0, "small, old, seed 3")
+
+
+def test_figure_after_a_change_is_not_taken_from_the_run_before_it() -> None:
+    after = BYTES.model_copy(update={"not_commit": "old"})
+    assert find_figure(after, [measured(1.0, "old")]) is None
+    assert "not run yet" in format_figures([after], {"small": [measured(1.0, "old")]})
+    found = find_figure(after, [measured(2.0, "new"), measured(1.0, "old")])
+    assert found is not None and found.value == 2.0
+
+
+def test_several_seeds_give_the_median_and_the_range() -> None:
+    figure = BYTES.model_copy(update={"unit": "B", "budget": 4.0})
+    measurements = [measured(value, seed=seed) for seed, value in enumerate((1.0, 5.0, 2.0))]
+    found = find_figure(figure, measurements)
+    assert found is not None and (found.value, found.least, found.most) == (2.0, 1.0, 5.0)
+    assert "| **2 (1 to 5) B** | 4 B (x 1.25) | measured, median of 3 | small, new, seed 0, 1, 2 |" in (
+        format_figures([figure], {"small": measurements})
+    )
+
+
+def test_line_is_fitted_within_bounds_and_says_where_it_is_extrapolated() -> None:
+    figure = BYTES.model_copy(update={"against": "servers", "at": 100.0, "up_to": 20.0, "times": 2.0})
+    measurements = [measured(10.0 + 3.0 * size, servers=size) for size in (10, 20)]
+    found = find_figure(figure, [*measurements, measured(9_000.0, servers=30)])
+    assert found is not None and found.value == pytest.approx(620.0)
+    assert "3 x 100 servers + 10 bytes; measured to 20, beyond that extrapolated" in found.how
+
+
+def test_labels_choose_the_measurements() -> None:
+    figure = BYTES.model_copy(update={"where": {"phase": "release"}})
+    found = find_figure(figure, [measured(1.0, phase="steady"), measured(7.0, phase="release")])
+    assert found is not None and found.value == 7.0
+
+
+def test_what_had_not_ended_with_its_run_is_a_lower_bound() -> None:
+    measurements = [measured(3.9, recovered=False)]
+    assert "| at least 3.9 |" in format_figures([BYTES], {"small": measurements})
+
+
+@pytest.mark.parametrize(
+    ("value", "text"),
+    [(0.0, "0"), (0.00012345, "0.000123"), (157.4, "157"), (1405.3, "1,405"), (62_743_210.0, "62,700,000")],
+)
+def test_numbers_have_three_digits(value: float, text: str) -> None:
+    assert format_number(value) == text
+
+
+def test_page_is_filled_between_its_marks_alone(tmp_path: Path) -> None:
+    (tmp_path / "small.jsonl").write_text(measured(2.0).model_dump_json() + "\n")
+    filled = fill_page(MARKS, [BYTES], tmp_path)
+    assert "former" not in filled
+    assert filled.startswith("before\n<!-- table: day -->\n| what |")
+    assert filled.endswith("| `net/` |\n<!-- end of table -->\nafter\n")
+    assert fill_page(filled, [BYTES], tmp_path) == filled
+
+
+def test_ranked_figures_stand_in_a_table_of_their_own(tmp_path: Path) -> None:
+    marks = MARKS + MARKS.replace("day", "missing")
+    later = BYTES.model_copy(update={"rank": 2, "missing": "later"})
+    first = BYTES.model_copy(update={"rank": 1, "missing": "first"})
+    missing = fill_page(marks, [later, first, BYTES], tmp_path).partition("<!-- table: missing -->")[2]
+    assert missing.index("1. first") < missing.index("2. later")
+    assert missing.count("not run yet") == 2
+
+
+def test_mark_without_figures_is_an_error(tmp_path: Path) -> None:
+    with pytest.raises(ExperimentError, match="night"):
+        fill_page(MARKS + MARKS.replace("day", "night"), [BYTES], tmp_path)
+
+
+def test_key_that_is_not_known_is_named(tmp_path: Path) -> None:
+    path = tmp_path / "figures.toml"
+    path.write_text("[[figures]]\ntabel = 1\n")
+    with pytest.raises(ExperimentError, match=r"^figures\.0\."):
+        read_figures(path)
+
+
+def test_page_of_this_repository_has_a_mark_for_each_table(tmp_path: Path) -> None:
+    filled = fill_page(PAGE.read_text(encoding="utf-8"), read_figures(FIGURES), tmp_path)
+    assert filled.count("not run yet") >= len(read_figures(FIGURES))
