--- a/scale/capacity.py
+++ b/scale/capacity.py
@@ -26,6 +26,9 @@
 _BLOCK = re.compile(r"(<!-- table: (?P<name>[a-z-]+) -->\n).*?(<!-- end of table -->)", re.DOTALL)
 
 
+Results = Mapping[str, Sequence[Measurement]]  # by the name of their file
+
+
 class Figure(BaseModel):
     """One row of a table: which measurements it takes, and what is made of them."""
 
@@ -33,11 +36,11 @@
 
     table: str
     what: str
-    results: str  # name of the results file, without its ending
+    results: list[str] = Field(min_length=1)  # names of results files without their ending, each a run
     role: str
     metric: str
     where: dict[str, Label] = {}  # labels that the measurements must have
-    commit: str | None = None  # of the run; otherwise that of the file's last line
+    commit: str | None = None  # of the runs; otherwise that of each file's last line
     not_commit: str | None = None  # a run that this figure must not come from
     against: str | None = None  # label of the size that a line is fitted to
     at: float | None = None  # size at which the line is taken
@@ -81,23 +84,31 @@
         raise ExperimentError(f"{'.'.join(map(str, first['loc']))}: {first['msg']}") from error
 
 
-def find_figure(figure: Figure, measurements: Sequence[Measurement]) -> Found | None:
-    """Work a figure out of its file's measurements; None if no run gave it yet."""
-    run = _choose_run(figure, measurements)
-    chosen = [each for each in run if _matches(figure, each)]
+def find_figure(figure: Figure, results: Results) -> Found | None:
+    """Work a figure out of its files' measurements; None if no run gave it yet."""
+    chosen: list[Measurement] = []
+    runs = []
+    for name in figure.results:
+        run = [each for each in _choose_run(figure, results.get(name, ())) if _matches(figure, each)]
+        chosen.extend(run)
+        if run:
+            runs.append(_describe_run(name, run))
     if not chosen:
         return None
-    seeds = sorted({int(each.labels.get("point_seed", each.seed)) for each in chosen})
-    name = f"{figure.results}, {chosen[0].commit}, seed {', '.join(map(str, seeds))}"
     if figure.against is not None and figure.at is not None:
-        return _fitted(figure, figure.against, figure.at, chosen, name)
+        return _fitted(figure, figure.against, figure.at, chosen, "; ".join(runs))
     values = [each.value * figure.times for each in chosen]
     how = "measured" if len(values) == 1 else f"measured, median of {len(values)}"
     if figure.processes:
-        each = format_number(statistics.median(values) / figure.times)
-        how = f"worked out: {each} {chosen[0].unit} x {figure.processes}"
+        one = format_number(statistics.median(values) / figure.times)
+        how = f"worked out: {one} {chosen[0].unit} x {figure.processes}"
     ended_early = any(each.labels.get("recovered") is False for each in chosen)
-    return Found(statistics.median(values), min(values), max(values), how, name, ended_early)
+    return Found(statistics.median(values), min(values), max(values), how, "; ".join(runs), ended_early)
+
+
+def _describe_run(name: str, run: Sequence[Measurement]) -> str:
+    seeds = sorted({int(each.labels.get("point_seed", each.seed)) for each in run})
+    return f"{name}, {run[0].commit}, seed {', '.join(map(str, seeds))}"
 
 
 def _choose_run(figure: Figure, measurements: Sequence[Measurement]) -> list[Measurement]:
@@ -150,8 +161,9 @@
 
 def _format_value(figure: Figure, found: Found) -> str:
     text = format_number(found.value)
-    if found.least != found.most:
-        text += f" ({format_number(found.least)} to {format_number(found.most)})"
+    least, most = format_number(found.least), format_number(found.most)
+    if least != most:
+        text += f" ({least} to {most})"
     text = f"{'at least ' if found.at_least else ''}{text} {figure.unit}".strip()
     return f"**{text}**" if _is_missed(figure, found) else text
 
@@ -173,12 +185,12 @@
     return text
 
 
-def format_figures(figures: Sequence[Figure], results: Mapping[str, Sequence[Measurement]]) -> str:
+def format_figures(figures: Sequence[Figure], results: Results) -> str:
     """A Markdown table; what is over its budget is bold."""
     rows = [_HEADER, tuple("---" for _ in _HEADER)]
     for figure in figures:
-        found = find_figure(figure, results[figure.results])
-        value, how, run = NOT_RUN, "", figure.results
+        found = find_figure(figure, results)
+        value, how, run = NOT_RUN, "", ", ".join(figure.results)
         if found is not None:
             value, how, run = _format_value(figure, found), found.how, found.run
         rows.append((figure.what, value, _format_budget(figure, found), how, run, figure.carried_by))
@@ -200,7 +212,7 @@
     Raise ExperimentError for a mark without figures, or figures without a mark.
     """
     results: dict[str, Sequence[Measurement]] = {}
-    for name in {figure.results for figure in figures}:
+    for name in {name for figure in figures for name in figure.results}:
         path = folder / f"{name}.jsonl"
         results[name] = read_results([path]) if path.exists() else []
     shown = [*figures, *_rank(figures)]
