--- a/topazbank/__main__.py
+++ b/topazbank/__main__.py
@@ -1,7 +1,7 @@
 """Starts one sidecar: serves by its configuration, and drains on SIGTERM.
 
 Run as `python -m topazbank`, with RELAY_CONFIG naming the configuration.  A bad one ends the start with one
-line on standard error and exit code 2.  SIGHUP rereads it: discovery may have moved; all else stays.
+line on standard error and exit code 2.  SIGHUP puts it into force as it is now; a bad one changes nothing.
 """
 
 from __future__ import annotations
@@ -15,10 +15,8 @@
 
 from topazbank.configuration import read_config
 from topazbank.net.sidecar import Config, Sidecar
+from topazbank.reload import UNUSABLE, Reloader
 
-log = logging.getLogger(__name__)
-
-_BAD_CONFIG = (OSError, ValueError, RecursionError)
 # An asyncio transport refers to itself, so what a closed connection leaves is freed by full collections
 # alone.  They are cheap here, and by the defaults come once in a minute and 2 MB or so.
 _COLLECTED = (700, 5, 2)
@@ -54,26 +52,17 @@
     for each in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(each, stop.set)
     sidecar = Sidecar(config)
-    loop.add_signal_handler(signal.SIGHUP, reread, sidecar)
+    reloader = Reloader(config, sidecar.reconfigure)
+    loop.add_signal_handler(signal.SIGHUP, reloader.reload, lambda: read_config(os.environ, with_known=False))
     await sidecar.run(stop)
 
 
-def reread(sidecar: Sidecar) -> None:
-    """Turn to the configuration as it is now; a bad one changes nothing."""
-    try:
-        config = read_config(os.environ)
-    except _BAD_CONFIG as bad:
-        log.error("the configuration stays as it was: %s", str(bad).replace("\n", " "))
-    else:
-        sidecar.move_discovery(config.discovery)
-
-
 def main() -> int:
     start_log()
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until there is something to move
     try:
         config = read_config(os.environ)
-    except _BAD_CONFIG as bad:
+    except UNUSABLE as bad:
         print(f"bad configuration: {bad}".replace("\n", " "), file=sys.stderr)
         return 2
     gc.freeze()  # what is loaded by now stays; collections look at requests alone
--- a/topazbank/interface.py
+++ b/topazbank/interface.py
@@ -9,6 +9,8 @@
 from dataclasses import dataclass
 from enum import Enum, unique
 
+from topazbank.settings import Settings
+
 
 @unique
 class ServerState(Enum):
@@ -69,6 +71,16 @@
     version: int = 0
 
 
+@dataclass(slots=True)
+class SettingsChanged:
+    """Other settings are in force from here on.
+
+    Requests taken before keep their class, deadline and idempotency; limits hold for them, too.
+    """
+
+    settings: Settings
+
+
 @dataclass(slots=True)
 class RequestArrived:
     """A client's request; one final answer is owed from here on."""
@@ -140,6 +152,7 @@
 
 Event = (
     RegistryUpdated
+    | SettingsChanged
     | RequestArrived
     | AnswerStarted
     | AttemptEnded
--- a/topazbank/policy/admission.py
+++ b/topazbank/policy/admission.py
@@ -2,7 +2,7 @@
 
 import math
 
-from topazbank.policy.concurrency_limit import FREE_FILL, ConcurrencyLimit
+from topazbank.policy.concurrency_limit import ALLOWED_RATIO, FREE_FILL, ConcurrencyLimit
 from topazbank.policy.sparsity import FEW_ACTIVE
 from topazbank.settings import ServiceClass
 from topazbank.state import Context, DecayingRate, Flow, Request, Traffic
@@ -22,25 +22,31 @@
     As the limit fills, the part admitted falls by powers, sooner for lower priority.
     """
 
-    def __init__(
-        self, context: Context, limit: ConcurrencyLimit, arrivals: DecayingRate, probing: bool
-    ) -> None:
+    def __init__(self, context: Context, limit: ConcurrencyLimit, arrivals: DecayingRate) -> None:
+        self.probing = False  # whether probes tell of overload
         self._limit = limit
         self._arrivals = arrivals
-        self._probing = probing
         self._context = context
-        self._shares = {each.name: each.share for each in context.settings.tenants}
-        self._all_shares = sum(self._shares.values()) or 1.0
-        self._traffic: dict[Flow, Traffic] = {}
-        self._span_us = TRAFFIC_TARGETS * context.longest_target_us
-        self._in_time, self._late, self._shed = (DecayingRate(self._span_us) for _ in range(3))
-        self._longest_remaining_us: dict[str, int] = {}  # the most a request of a class came with
+        self._traffic: dict[Flow, Traffic] = context.new_table(context.names_flow)
+        self._in_time, self._late, self._shed = (context.new_rate(self._span_us) for _ in range(3))
+        self._sample_due = 0  # when a request is admitted for its latency alone, however full the limit is
+        self._found_room = False  # whether an answer was quick and nothing was sent since
+        self._longest_remaining_us: dict[str, int] = context.new_table(lambda _: False)  # deadlines change
+
+    def _span_us(self) -> float:
+        return TRAFFIC_TARGETS * self._context.longest_target_us
 
     def observe(self, latency_ratio: float) -> None:
         """Take in one answer, or an attempt that is late without one."""
+        self._found_room = self._found_room or latency_ratio <= ALLOWED_RATIO
         (self._in_time if latency_ratio <= 1.0 else self._late).add(self._context.now)
         self._limit.observe(latency_ratio)
 
+    def sent(self, latency_target_us: int) -> None:
+        """Take in that an attempt was sent: it is the latest sample until it is answered or late."""
+        self._sample_due = self._context.now + latency_target_us
+        self._found_room = False
+
     def count_late(self) -> None:
         """Count an attempt that ended late without an answer."""
         self._late.add(self._context.now)
@@ -52,17 +58,20 @@
     def _sheds(self, request: Request) -> bool:
         traffic = self._traffic.get(request.flow)
         if traffic is None:
-            traffic = Traffic(request.service_class, request.flow[1], DecayingRate(self._span_us))
+            traffic = Traffic(request.service_class, request.flow[1], DecayingRate(self._span_us()))
             self._traffic[request.flow] = traffic
+        traffic.service_class = request.service_class  # settings may have changed
         traffic.rate.add(self._context.now)
-        if self._probing:
+        if self.probing:
             request.priority = self._priority(traffic)
             return False  # probes will tell
+        if self._found_room:
+            return False
         rate = self._arrivals.per_us(self._context.now)
         if max(rate * self._context.longest_target_us, self._context.load.total()) < FEW_ACTIVE / 2:
             return self._sheds_by_count(traffic)
         fill = self._limit.fill()
-        if fill <= FREE_FILL:
+        if fill <= FREE_FILL or self._context.now >= self._sample_due:
             return False
         pressure = STEEPNESS * (fill - FREE_FILL) / (1.0 - FREE_FILL)
         admitted = math.exp(-PRIORITY_WEIGHT * pressure * (1.0 - self._priority(traffic)))
@@ -76,12 +85,11 @@
         now = self._context.now
         if self._limit.cores is not None and self._limit.cores < CORES_IDLE:
             return False  # late answers from servers with idle cores tell of a few slow ones
-        in_time = self._in_time.per_us(now) * self._span_us + SPARSE_PRIOR
-        missed = (self._late.per_us(now) + self._shed.per_us(now)) * self._span_us
+        in_time = self._in_time.per_us(now) * self._span_us() + SPARSE_PRIOR
+        missed = (self._late.per_us(now) + self._shed.per_us(now)) * self._span_us()
         # What is active tells of a surge before any of it is late; by itself it may be a burst and no more.
-        excess = 1.0 - SPARSE_ROOM * in_time / (
-            in_time + missed + min(missed, 1.0) * self._context.load.total()
-        )
+        admitted = SPARSE_ROOM * in_time / (in_time + missed + min(missed, 1.0) * self._context.load.total())
+        excess = 1.0 - admitted
         if excess > 0.0 and self._context.rng.random() < 2.0 * excess * (1.0 - self._priority(traffic)):
             self._shed.add(now)
             return True
@@ -114,8 +122,8 @@
         return (below + 0.5 * same) / total if total > 0.0 else 0.5
 
     def _worth(self, traffic: Traffic, tenant_rate: float, total: float) -> float:
-        worth, share = traffic.service_class.worth, self._shares.get(traffic.tenant or "")
+        worth, share = traffic.service_class.worth, self._context.tenant_shares.get(traffic.tenant or "")
         if share is None or tenant_rate <= 0.0:
             return worth
-        inside = min(1.0, total * share / self._all_shares / tenant_rate)
+        inside = min(1.0, total * share / self._context.all_shares / tenant_rate)
         return worth * (inside + (1.0 - inside) * self._context.settings.over_share_worth)
--- a/topazbank/policy/overdue.py
+++ b/topazbank/policy/overdue.py
@@ -13,9 +13,7 @@
 LEAST_TARGETS = 0.1  # but never less than this part of the latency target: short times are all jitter
 SILENT_TIMES = 2.0  # overdue again by this factor, an unanswering server is taken for silent
 SILENT_TARGETS = 0.5  # but never before this part of the target
-PEER_ANSWERS = (
-    4  # answers from others, since the overdue attempt left, that make its server's silence its own
-)
+PEER_ANSWERS = 4  # answers from others, since the attempt left, that make its server's silence its own
 
 
 @dataclass(slots=True, eq=False)
@@ -55,6 +53,8 @@
         waited_us = now - attempt.sent_at - (self.context.stalled_us - attempt.stalled_before_us)
         if waited_us < target_us:
             self._examine_in(target_us - waited_us, request, attempt)
+        else:
+            self.context.load.pass_target(attempt)
         enough_us = max(SILENT_TIMES * self._overdue_after_us(request, server), SILENT_TARGETS * target_us)
         if silent and waited_us < enough_us:
             self._examine_in(int(enough_us) - waited_us, request, attempt)
--- a/topazbank/settings.py
+++ b/topazbank/settings.py
@@ -1,4 +1,4 @@
-"""All that an instance is told at its start, and how it is read from plain mappings.
+"""All that an instance is told of its service, and how it is read from plain mappings.
 
 Times are whole microseconds.  What the settings leave out takes the cautious end.
 """
@@ -135,7 +135,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Settings:
-    """All that an instance is told at its start."""
+    """All that an instance is told of its service."""
 
     classes: tuple[ServiceClass, ...]
     tenants: tuple[Tenant, ...] = ()
