Replace the files of an experiment on configuration beside the rig's event loop

Cause: all files were replaced in one loop on the event loop that also answers the requests in flight and asks the sidecars; where writing was slow, as beside other work, its time passed for the sidecars', and requests that the rig's server held ran out of time. Each sidecar's file is now replaced in a thread, written before its moment is taken, and asked after at once.

--- a/scale/configuration/run.py
+++ b/scale/configuration/run.py
@@ -123,19 +123,17 @@
     def _counts(self) -> Counts:
         return self.registry.ask(GetCounts(), Counts)
 
-    def _replace(self, added_class: str) -> list[float]:
-        """Replace all files by a next version; return the moments."""
+    def _next_configurations(self, added_class: str) -> list[tuple[ConfiguredSidecar, bytes]]:
+        """The next version for each sidecar, with one class more than at the start."""
         self.version += 1
-        return [each.replace_file(each.configuration(self.version, added_class)) for each in self.sidecars]
+        return [(each, each.configuration(self.version, added_class)) for each in self.sidecars]
 
-    async def _watch(self, phase: str, added_class: str, replaced: Sequence[float]) -> None:
-        """Write the times until requests of an added class were taken."""
+    async def _change(self, phase: str, added_class: str) -> None:
+        """Replace all files by a next version, and write the times until requests of a class were taken."""
         within_s = self.experiment.duration_s
-        waits = (
-            sidecar.in_force_after(added_class, at_s, within_s)
-            for sidecar, at_s in zip(self.sidecars, replaced, strict=True)
-        )
-        delays = [delay for delay in await asyncio.gather(*waits) if delay is not None]
+        configurations = self._next_configurations(added_class)
+        changes = (each.change(content, added_class, within_s) for each, content in configurations)
+        delays = [delay for delay in await asyncio.gather(*changes) if delay is not None]
         share = len(delays) / len(self.sidecars)
         self._add("configuration", f"in force within {within_s:g} s", share, "share", phase)
         histogram = new_histogram()
@@ -153,8 +151,7 @@
         await self._until(lambda: self.server.counters.requests + _ended(in_flight) >= reached)
         self.server.service_time_s = lambda: 0.0
         ended_before = _ended(in_flight)
-        added_class = f"added-{self.version + 1}"
-        await self._watch("change", added_class, self._replace(added_class))
+        await self._change("change", f"added-{self.version + 1}")
         results = await asyncio.gather(*in_flight)
         served = sum(each.status == HTTPStatus.OK for each in results)
         self._add("request in flight", "ended before the change", ended_before, "requests", "change")
@@ -163,14 +160,14 @@
     async def _measure_bad_file(self) -> None:
         """Replace all files by one that cannot be used: what was in force has to stay so."""
         for sidecar in self.sidecars:
-            sidecar.replace_file(_BAD_FILE)
+            await asyncio.to_thread(sidecar.replace_file, _BAD_FILE)
         await asyncio.sleep(self.experiment.reload_interval_s)
         taken = [await each.knows_class(KINDS[0]) for each in self.sidecars]
         self._add("configuration", "classes as before", sum(taken) / len(taken), "share", "bad file")
 
     async def _measure_taken_back(self) -> None:
         """Put what an earlier version said into force again, as a newer version."""
-        await self._watch("taken back", "added-2", self._replace("added-2"))
+        await self._change("taken back", "added-2")
 
     async def _measure_cost(self) -> None:
         """Compare a time with reloads, no request beside them, with as long a time without."""
@@ -179,7 +176,8 @@
         await asyncio.sleep(reloads * interval_s)
         idle = self._read()
         for _ in range(reloads):
-            self._replace(f"metered-{self.version + 1}")
+            for sidecar, content in self._next_configurations(f"metered-{self.version + 1}"):
+                await asyncio.to_thread(sidecar.replace_file, content)
             await asyncio.sleep(interval_s)
         end = self._read()
         each = reloads * len(self.sidecars)
--- a/scale/configuration/sidecar.py
+++ b/scale/configuration/sidecar.py
@@ -54,8 +54,8 @@
         """Replace its file in one step, signal it, and return the moment before that (monotonic clock)."""
         path = self._folder / "config.json"
         temporary = path.with_suffix(".new")
-        replaced_at = time.monotonic()
         temporary.write_bytes(content)
+        replaced_at = time.monotonic()
         os.replace(temporary, path)
         self.process.popen.send_signal(signal.SIGHUP)
         return replaced_at
@@ -73,8 +73,13 @@
         """Whether it takes requests of a class now: one that it does not know is a bad request."""
         return (await self.call(service_class)).status != HTTPStatus.BAD_REQUEST
 
-    async def in_force_after(self, service_class: str, since_s: float, within_s: float) -> float | None:
-        """Seconds from a moment until a request of a new class was taken and answered; None: not in time."""
+    async def change(self, content: bytes, added_class: str, within_s: float) -> float | None:
+        """Replace its file, and return the seconds until a request of an added class was taken and answered.
+
+        None: not in time.  Files may be slow, so they are replaced beside the event loop, which goes on to
+        answer the requests in flight and to ask the other sidecars.
+        """
+        since_s = await asyncio.to_thread(self.replace_file, content)
         wait_s = _FIRST_WAIT_S
         while time.monotonic() < since_s + within_s:
             if await self.knows_class(service_class):
