--- a/topazbank/balancer.py
+++ b/topazbank/balancer.py
@@ -124,7 +124,6 @@
         now = self._context.now
         service_class = self._context.class_named(event.service_class, event.remaining_us)
         self._slow_start.arrivals.add(now)
-        self._retry_budget.deposit()
         answer_by = now + event.remaining_us - ANSWER_EARLY_TICKS * self._context.settings.tick_us
         cost = self._latency.relative_cost(service_class, event.cost_us)
         flow = (service_class.name, event.tenant)
@@ -258,6 +257,7 @@
                 self._close(request)
             else:
                 self._try_again(request, attempt.server, event.outcome)
+        self._retry_budget.attempt_ended(event.outcome)
         self._forget_if_over(request)
 
     def _learn(self, request: Request, attempt: Attempt, event: interface.AttemptEnded) -> None:
