--- a/scale/configuration/sidecar.py
+++ b/scale/configuration/sidecar.py
@@ -82,7 +82,7 @@
         since_s = await asyncio.to_thread(self.replace_file, content)
         wait_s = _FIRST_WAIT_S
         while time.monotonic() < since_s + within_s:
-            if await self.knows_class(service_class):
+            if await self.knows_class(added_class):
                 return time.monotonic() - since_s
             await asyncio.sleep(wait_s)
             wait_s = min(wait_s * _WAIT_GROWTH, _WAIT_MOST_S)
--- a/topazbank/balancer.py
+++ b/topazbank/balancer.py
@@ -54,7 +54,6 @@
 
     def _set_up_probing(self) -> None:
         self._probes = probing.probes_per_tie(self._context.settings)
-        self._admission.probing = self._probes > 1
         crossings_cost = probing.crossing_cost(self._context.settings) >= probing.CROSSING_LEAST
         self._selector.local_first = self._probes > 1 and crossings_cost
 
@@ -342,10 +341,8 @@
                     self._connections.close(server)
                 case timers.RegistryPoll():
                     self._refresh.watch()
-                case (
-                    timers.RequestDeadline(ident) | timers.ProbesDue(ident) | timers.AttemptOverdue(ident, _)
-                ):
-                    self._request_due(self._requests[ident], timer)
+                case timers.RequestDeadline() | timers.ProbesDue() | timers.AttemptOverdue():
+                    self._request_due(self._requests[timer.request], timer)
 
     def _request_due(self, request: Request, timer: timers.Timer) -> None:
         if any(each.started for each in request.attempts):
--- a/topazbank/policy/admission.py
+++ b/topazbank/policy/admission.py
@@ -3,6 +3,7 @@
 import math
 
 from topazbank.policy.concurrency_limit import ALLOWED_RATIO, FREE_FILL, ConcurrencyLimit
+from topazbank.policy.probing import probes_per_tie
 from topazbank.policy.sparsity import FEW_ACTIVE
 from topazbank.settings import ServiceClass
 from topazbank.state import Context, DecayingRate, Flow, Request, Traffic
@@ -23,7 +24,6 @@
     """
 
     def __init__(self, context: Context, limit: ConcurrencyLimit, arrivals: DecayingRate) -> None:
-        self.probing = False  # whether probes tell of overload
         self._limit = limit
         self._arrivals = arrivals
         self._context = context
@@ -62,7 +62,7 @@
             self._traffic[request.flow] = traffic
         traffic.service_class = request.service_class  # settings may have changed
         traffic.rate.add(self._context.now)
-        if self.probing:
+        if probes_per_tie(self._context.settings) > 1:
             request.priority = self._priority(traffic)
             return False  # probes will tell
         if self._found_room:
--- a/topazbank/policy/concurrency_limit.py
+++ b/topazbank/policy/concurrency_limit.py
@@ -46,8 +46,7 @@
         """Latency targets are this many times as long: as much more is served within one, at lower ratios."""
         self.limit = max(self.limit * factor, LEAST_LIMIT)
         self.latency_ratio = min(self.latency_ratio / factor, 1.0)
-        if self._baseline is not None:
-            self._baseline = min(self._baseline / factor, 1.0)
+        self._baseline = None if self._baseline is None else min(self._baseline / factor, 1.0)
 
     def delivered(self, latency_target_us: int) -> None:
         self._served_targets.add(self._context.now, latency_target_us)
