--- a/scale/capacity.py
+++ b/scale/capacity.py
@@ -41,7 +41,7 @@
     metric: str
     where: dict[str, Label] = {}  # labels that the measurements must have
     commit: str | None = None  # of the runs; otherwise that of each file's last line
-    not_commit: str | None = None  # a run that this figure must not come from
+    not_commits: list[str] = []  # runs that this figure must not come from
     against: str | None = None  # label of the size that a line is fitted to
     at: float | None = None  # size at which the line is taken
     up_to: float | None = None  # largest size that the line is fitted to
@@ -112,7 +112,7 @@
 
 
 def _choose_run(figure: Figure, measurements: Sequence[Measurement]) -> list[Measurement]:
-    commits = [each.commit for each in measurements if each.commit != figure.not_commit]
+    commits = [each.commit for each in measurements if each.commit not in figure.not_commits]
     commit = figure.commit or (commits[-1] if commits else None)
     return [each for each in measurements if each.commit == commit]
 
--- a/tests/scale/test_capacity.py
+++ b/tests/scale/test_capacity.py
@@ -40,7 +40,7 @@
 
 
 def test_figure_after_a_change_is_not_taken_from_the_run_before_it() -> None:
-    after = BYTES.model_copy(update={"not_commit": "old"})
+    after = BYTES.model_copy(update={"not_commits": ["old"]})
     assert find_figure(after, {"small": [measured(1.0, "old")]}) is None
     assert "not run yet" in format_figures([after], {"small": [measured(1.0, "old")]})
     found = find_figure(after, {"small": [measured(2.0, "new"), measured(1.0, "old")]})
