--- a/topazbank/policy/latency.py
+++ b/topazbank/policy/latency.py
@@ -1,7 +1,7 @@
 """Usual latency and cost of each class and size of requests, and how servers compare with it."""
 
-from topazbank.interface import ServiceClass
 from topazbank.policy.sparsity import sparsity
+from topazbank.settings import ServiceClass
 from topazbank.state import Context, Request, Server
 
 WEIGHT_STEP = 0.1  # a latency weight follows the last ten answers or so, or fewer where few are active
@@ -15,8 +15,8 @@
 
     def __init__(self, context: Context) -> None:
         self._context = context
-        self._usual_us: dict[tuple[str, int], float] = {}  # by class and size
-        self._mean_cost_us: dict[str, float] = {}  # by class
+        self._usual_us: dict[tuple[str, int], float] = context.new_table(context.names_sized_class)
+        self._mean_cost_us: dict[str, float] = context.new_table(context.names_class)  # by class
 
     def relative_cost(self, service_class: ServiceClass, cost_us: int | None) -> float:
         """The cost of a new request relative to the mean of its class."""
--- a/topazbank/policy/outliers.py
+++ b/topazbank/policy/outliers.py
@@ -1,9 +1,10 @@
 """Outlier ejection: servers that fail or fall silent are left, and come back by half-open attempts."""
 
-from topazbank.interface import Idempotency, Log, Outcome, ServerState
-from topazbank.policy.retries import may_run_again
+from topazbank.interface import Log, Outcome, ServerState
+from topazbank.policy.retries import FAILURES, may_run_again
 from topazbank.policy.slow_start import SlowStart
 from topazbank.policy.sparsity import subset_size
+from topazbank.settings import Idempotency
 from topazbank.state import Attempt, Backoff, Context, Request, Server
 
 FAILURES_TO_EJECT = 3  # in a row, none answered between: networks break a few by chance
@@ -11,7 +12,6 @@
 MAX_BACKOFF_TARGETS = 16.0  # and never lasts longer: a server that came back is found again
 MAX_EJECTED = 0.6  # never more than this share of the servers is ejected: the rest would be overloaded
 MAX_EJECTED_SILENT = 0.34  # nor more than this for silence alone: more is overload, not failure
-FAILURES = (Outcome.EXPIRED, Outcome.DROPPED, Outcome.DIAL_FAILED, Outcome.ERROR)
 
 
 class OutlierDetector:
@@ -55,9 +55,7 @@
         if half_open or (server.consecutive_failures >= FAILURES_TO_EJECT and server.ejected_until is None):
             self.eject(server, outcome.value)
             if dials >= (1 if half_open else FAILURES_TO_EJECT):  # broken connections alone prove nothing
-                self._slow_start.begin(
-                    server, self._context.now
-                )  # it may be back before the registry says so
+                self._slow_start.begin(server, self._context.now)  # the registry may tell of it later
 
     def eject(self, server: Server, reason: str, max_share: float = MAX_EJECTED) -> None:
         """Send nothing to a server for a while, unless too large a share is ejected already."""
--- a/topazbank/policy/probing.py
+++ b/topazbank/policy/probing.py
@@ -3,19 +3,18 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
-from topazbank.interface import Outcome, Probe, ProbeEnded, ReportSource, Settings
+from topazbank.interface import Outcome, Probe, ProbeEnded
 from topazbank.policy.concurrency_limit import LATE_RATIO
 from topazbank.policy.connections import IdleConnections
 from topazbank.policy.selection import CANDIDATES, Selector
 from topazbank.policy.slow_start import SlowStart
+from topazbank.settings import ReportSource, Settings
 from topazbank.state import Attempt, Context, LinearFit, Request, Server
 from topazbank.state.timers import ProbesDue
 
 MAX_SPEND = 0.01  # probes for a request may cost this part of its worth
 WAIT_PROBE_TIMES = 3.0  # a tie waits this many usual probe times for its probes
-MAX_WAIT_TARGETS = (
-    0.05  # and never longer than this part of the latency target: the usual is not known at first
-)
+MAX_WAIT_TARGETS = 0.05  # and never longer than this part of the target: the usual is not known at first
 PROBE_TIME_STEP = 0.1  # the usual probe time follows the last ten or so
 COST_GAIN = 2.0  # a crossing or a new connection must spare this many times its price, in latency targets
 CROSSING_LEAST = 0.1  # cheaper crossings than this go by weights
--- a/topazbank/state/records.py
+++ b/topazbank/state/records.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import NamedTuple
 
-from topazbank.interface import ServerState, ServiceClass
+from topazbank.interface import Outcome, ServerState
+from topazbank.settings import Limits, ServiceClass
 from topazbank.state.statistics import DecayingRate
 
 Flow = tuple[str, str | None]  # the class and tenant of a request
@@ -81,6 +82,8 @@
     flow: Flow
     all_zones: bool  # whether servers of all zones are candidates
     size: int  # class of costs, by powers of two
+    limits: Limits = field(default_factory=Limits)  # the strictest that held since it was accepted
+    never_ran: frozenset[Outcome] = frozenset()  # what proved in all that time that an attempt did not run
     key: int | None = None  # where its class is ordered by key
     attempts: list[Attempt] = field(default_factory=list)
     failed_servers: list[Server] = field(default_factory=list)  # full ones included
@@ -90,6 +93,16 @@
     probes_due: int = 0
     priority: float = 0.5  # the part of the traffic that is worth less
 
+    def restrict(self, limits: Limits, never_ran: frozenset[Outcome]) -> None:
+        """Other settings hold: what they forbid is forbidden from now on, what they newly allow is not."""
+        self.limits = replace(
+            limits,
+            max_attempts=min(self.limits.max_attempts, limits.max_attempts),
+            allow_hedging=self.limits.allow_hedging and limits.allow_hedging,
+            allow_cancel=self.limits.allow_cancel and limits.allow_cancel,
+        )
+        self.never_ran &= never_ran
+
     def is_active(self) -> bool:
         """Whether an attempt has not ended yet."""
         return any(each.pending for each in self.attempts)
@@ -98,6 +111,16 @@
         """Whether it is answered and none of its attempts is active."""
         return self.answered and not self.is_active()
 
+    def pending_attempt(self, index: int) -> Attempt | None:
+        """The attempt of this number, if it was sent and has not ended."""
+        attempt = self.attempts[index] if index < len(self.attempts) else None
+        return attempt if attempt is not None and attempt.pending else None
+
+    def answer_started(self, index: int) -> None:
+        """Note that the answer of an attempt goes to the client by now."""
+        if index < len(self.attempts):
+            self.attempts[index].started = True
+
     def may_have_run(self) -> bool:
         """Whether any attempt may have taken effect."""
         return any(each.may_have_run for each in self.attempts)
