--- a/scale/capacity.py
+++ b/scale/capacity.py
@@ -156,7 +156,8 @@
     rounded = float(f"{value:.{_SIGNIFICANT}g}")
     if abs(rounded) >= 100.0:
         return f"{value:,.0f}" if abs(value) < 10_000.0 else f"{rounded:,.0f}"
-    return f"{rounded:.10f}".rstrip("0").rstrip(".")
+    text = f"{rounded:.10f}".rstrip("0").rstrip(".")
+    return "0" if text == "-0" else text
 
 
 def _format_value(figure: Figure, found: Found) -> str:
--- a/tests/scale/test_capacity.py
+++ b/tests/scale/test_capacity.py
@@ -87,7 +87,14 @@
 
 @pytest.mark.parametrize(
     ("value", "text"),
-    [(0.0, "0"), (0.00012345, "0.000123"), (157.4, "157"), (1405.3, "1,405"), (62_743_210.0, "62,700,000")],
+    [
+        (0.0, "0"),
+        (-1e-15, "0"),
+        (0.00012345, "0.000123"),
+        (157.4, "157"),
+        (1405.3, "1,405"),
+        (62_743_210.0, "62,700,000"),
+    ],
 )
 def test_numbers_have_three_digits(value: float, text: str) -> None:
     assert format_number(value) == text
