--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 import pytest
-from warped import Service
+from virtual_time import Service
 
 from topazbank.net import discovery, upstream
 from topazbank.net.upstream import Address, Connection
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -329,7 +329,7 @@
 # -- A whole list is fetched x a watch tells of more
 
 
-def test_a_slow_whole_list_lands_after_the_news_of_a_watch() -> None:
+def test_a_slow_snapshot_arrives_after_the_delta_of_a_watch() -> None:
     async def scene() -> None:
         async with world(served) as w:
             await until(lambda: w.discovery.called(1))
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -7,7 +7,7 @@
 import pytest
 from helpers import S
 from loopback import FakeDiscovery, answer, play, served, until, world
-from warped import play_warped
+from virtual_time import play_in_virtual_time
 
 from topazbank.interface import ServerState
 from topazbank.net.discovery import _IDLE_S, Discovery, RegistryResponse, parse_registry
@@ -32,7 +32,7 @@
     play(scene())
 
 
-def test_changes_and_whole_lists_reach_the_balancer() -> None:
+def test_deltas_and_snapshots_reach_the_balancer() -> None:
     async def scene() -> None:
         async with world(served, served) as w:
             states = w.sidecar._balancer._context.registry.servers
@@ -75,7 +75,7 @@
         b"HTTP/1.1 200 X\r\nContent-Length: 99\r\n\r\n{",
     ],
 )
-def test_a_failed_call_is_told_and_the_module_asks_again(bad: bytes) -> None:
+def test_a_failed_registry_call_is_reported_and_made_again(bad: bytes) -> None:
     async def scene() -> None:
         async with world(served, rules={"ask_within_us": 1 * S}) as w:
             w.discovery.answers.put_nowait(bad)
@@ -222,7 +222,7 @@
 
 
 @pytest.mark.parametrize("status", ["leaving", "left"])
-def test_a_server_that_leaves_is_told_of_even_without_its_address(status: str) -> None:
+def test_a_server_that_leaves_is_reported_even_without_its_address(status: str) -> None:
     # Guards rule 3: skipped as junk, the entry would leave the server in use.
     async def scene() -> None:
         async with world(served) as w:
@@ -243,7 +243,7 @@
             await until(lambda: len(w.discovery.called_after_s) == 4)
             assert min(w.discovery.called_after_s) >= 0.09
 
-    play_warped(scene())
+    play_in_virtual_time(scene())
 
 
 def test_an_answer_without_changes_looks_at_no_address(monkeypatch: pytest.MonkeyPatch) -> None:
--- a/tests/test_draw.py
+++ b/tests/test_draw.py
@@ -31,7 +31,7 @@
     assert set(Counter(each.server for _, each in stage.sends()).values()) == {10}
 
 
-def test_a_server_that_said_full_is_left_out_and_the_last_redraw_sees_the_whole_list() -> None:
+def test_a_server_that_answered_full_is_left_out_and_the_last_redraw_sees_all_servers() -> None:
     stage = Stage()
     stage.servers(names(5))
     request = stage.request("pay")
@@ -61,7 +61,7 @@
     assert late[slow] < 0.6 * sum(late.values()) / 12
 
 
-def test_nominal_size_stands_in_for_pace_until_answers_tell() -> None:
+def test_nominal_capacity_gives_the_latency_weight_until_the_first_answers() -> None:
     stage = Stage()
     stage.servers([Endpoint(name, "east", nominal=4.0 if name == names(8)[0] else 1.0) for name in names(8)])
     for _ in range(200):
@@ -112,7 +112,7 @@
     assert len(copies) > 1 and hung not in copies[1:]
 
 
-def test_an_ejected_server_comes_back_by_one_trial_at_a_time() -> None:
+def test_an_ejected_server_gets_one_half_open_attempt_at_a_time() -> None:
     stage = Stage()
     hung, stuck = _with_one_hung(stage, 20)
     before = len([1 for _, each in stage.sends() if each.server == hung])
@@ -147,7 +147,7 @@
 
 
 @pytest.mark.parametrize("outcome", [Outcome.FULL, Outcome.CANCELLED])
-def test_a_trial_that_brings_no_answer_keeps_the_server_out(outcome: Outcome) -> None:
+def test_a_half_open_attempt_without_an_answer_keeps_the_server_ejected(outcome: Outcome) -> None:
     stage = Stage()
     hung, stuck = _with_one_hung(stage, 20)
     for request in stuck:
@@ -191,7 +191,7 @@
     assert sum(1 for _, each in stage.sends() if each.server == bad) < 300 / 6
 
 
-def test_a_timeout_of_a_server_that_answers_others_is_no_strike() -> None:
+def test_a_timeout_of_a_server_that_answers_others_counts_as_no_failure() -> None:
     stage = Stage()
     stage.servers(names(1))
     for _ in range(6):
@@ -272,7 +272,7 @@
     assert len(unsent) > 0.5 * len(stage.said(Refuse))
 
 
-def test_the_window_lets_all_in_again_once_the_load_falls() -> None:
+def test_the_concurrency_limit_admits_all_again_once_the_load_falls() -> None:
     stage = Stage()
     stage.serve(1)
     _overload(stage, 400)
@@ -288,7 +288,7 @@
     assert len(stage.said(Refuse)) == refused
 
 
-def test_late_news_does_not_shut_the_window_on_what_is_answered_in_time() -> None:
+def test_late_answers_do_not_take_the_limit_below_what_is_answered_in_time() -> None:
     stage = Stage()
     stage.servers(names(8))
     stage.serve(400, every_us=10 * MS, taking_us=100 * MS)  # ten in flight, a fifth of the aim each
@@ -370,7 +370,7 @@
     assert later and not later & met
 
 
-def test_a_busy_balancer_reaches_all_servers() -> None:
+def test_a_busy_balancer_uses_all_servers() -> None:
     stage = Stage()
     stage.servers(names(30))
     stage.serve(2_000, every_us=5 * MS, taking_us=250 * MS)
@@ -439,7 +439,7 @@
     assert _late_with_reports(1.0) > 30
 
 
-def test_reported_cores_do_not_hold_the_window_open_where_many_are_in_flight() -> None:
+def test_reported_cores_do_not_keep_the_limit_high_where_many_are_in_flight() -> None:
     stage = Stage()
     stage.servers(names(8))
     out: list[tuple[int, int]] = []
@@ -467,7 +467,7 @@
     assert len(stage.said(Refuse)) > 100
 
 
-def test_pace_moves_faster_where_answers_are_few() -> None:
+def test_latency_weights_move_faster_where_answers_are_few() -> None:
     def change(every_us: int, taking_us: int, singly: bool) -> float:
         stage = Stage()
         stage.servers(names(4))
--- a/tests/test_registry_crossings.py
+++ b/tests/test_registry_crossings.py
@@ -11,7 +11,7 @@
 import pytest
 from helpers import S
 from loopback import FakeServer, World, answer, ask, hung, read_answer, request, reset, served, until, world
-from warped import STEP_S, Service, now_s, pass_s, play_warped, told_within
+from virtual_time import STEP_S, Service, now_s, pass_s, play_in_virtual_time, told_within
 
 from topazbank.interface import ServerState
 from topazbank.net import sidecar
@@ -90,7 +90,7 @@
             writer.close()
         latter.stop()
 
-    play_warped(scene())
+    play_in_virtual_time(scene())
 
 
 @pytest.mark.parametrize("reload_first", [True, False])
@@ -120,7 +120,7 @@
             writer.close()
         latter.stop()
 
-    play_warped(scene())
+    play_in_virtual_time(scene())
 
 
 # -- A silence that begins late
@@ -151,7 +151,7 @@
             await told_within(w, TOLD_S, began)
             await nothing_more_reaches_the_first(w)
 
-    play_warped(scene())
+    play_in_virtual_time(scene())
 
 
 # -- A whole list that leaves out what drains, or what is in use
@@ -184,7 +184,7 @@
             await until(lambda: first.closed == len(first.writers))  # no connection to it is kept
             writer.close()
 
-    play_warped(scene())
+    play_in_virtual_time(scene())
 
 
 def test_a_request_whose_server_is_left_out_of_a_whole_list_and_dies_goes_elsewhere_only_if_safe() -> None:
@@ -204,7 +204,7 @@
             assert [head["x-call-class"] for _, head, _ in survivor.requests] == ["look"]
             survivor.stop()
 
-    play_warped(scene())
+    play_in_virtual_time(scene())
 
 
 # -- A watch that ends instead of telling x a first answer that is the whole list
@@ -254,4 +254,4 @@
             await nothing_more_reaches_the_first(w)
             assert (await ask(w.sidecar.frontend.address, request(path="/health/ready")))[0] == 200
 
-    play_warped(scene())
+    play_in_virtual_time(scene())
--- a/tests/test_told.py
+++ b/tests/test_registry_delay.py
@@ -9,7 +9,7 @@
 import pytest
 from helpers import S
 from loopback import served, world
-from warped import STEP_S, Service, now_s, pass_s, play_warped, told_within
+from virtual_time import STEP_S, Service, now_s, pass_s, play_in_virtual_time, told_within
 
 TOLD_S = 6.0  # after discovery has it and can be reached, a change counts as told
 
@@ -40,7 +40,7 @@
                     await there.change(leaving)
                 await told_within(w, TOLD_S, began)
 
-    play_warped(scene())
+    play_in_virtual_time(scene())
 
 
 @pytest.mark.parametrize("after_s", [0.1, 1.0, 2.4, 3.9, 4.2])
@@ -59,7 +59,7 @@
             await there.change(w.servers[0].entry(status="leaving"))
             await told_within(w, TOLD_S, began)
 
-    play_warped(scene())
+    play_in_virtual_time(scene())
 
 
 @pytest.mark.parametrize("fault", FAULTS)
@@ -81,7 +81,7 @@
                 await told_within(w, TOLD_S, now_s())
             latter.stop()
 
-    play_warped(scene())
+    play_in_virtual_time(scene())
 
 
 def test_a_change_is_applied_four_seconds_after_a_move_though_the_first_call_falls_silent(
@@ -102,7 +102,7 @@
             await told_within(w, 4.0, began)
         latter.stop()
 
-    play_warped(scene())
+    play_in_virtual_time(scene())
 
 
 def test_a_watch_calls_no_more_than_it_must(service: Callable[[], Service]) -> None:
@@ -115,4 +115,4 @@
             waits = {int(parse_qs(urlsplit(each).query)["wait_ms"][0]) for each in there.targets}
             assert len(waits) > 5  # instances that were silenced at once do not come back at once
 
-    play_warped(scene())
+    play_in_virtual_time(scene())
--- a/tests/test_request_crossings.py
+++ b/tests/test_request_crossings.py
@@ -24,7 +24,7 @@
     until,
     world,
 )
-from warped import now_s, pass_s, play_warped
+from virtual_time import now_s, pass_s, play_in_virtual_time
 
 from topazbank.interface import ServerState
 from topazbank.net import upstream
@@ -179,7 +179,7 @@
             assert [each for *_, each in w.servers[1].requests[-4:]] == [b"in single bytes"] * 4
             writer.close()
 
-    play_warped(scene())
+    play_in_virtual_time(scene())
 
 
 @pytest.mark.parametrize("used", [False, True], ids=["new connection", "used connection"])
@@ -198,7 +198,7 @@
             assert [each for *_, each in w.servers[0].requests[used:]] == [b"in single bytes"]
             writer.close()
 
-    play_warped(scene())
+    play_in_virtual_time(scene())
 
 
 @pytest.mark.parametrize("used", [False, True], ids=["new connection", "used connection"])
@@ -227,7 +227,7 @@
             assert len(w.sent()) == used
             writer.close()
 
-    play_warped(scene())
+    play_in_virtual_time(scene())
 
 
 # -- SIGTERM x what clients go on sending
@@ -266,7 +266,7 @@
             assert await is_closed(reader)
             writer.close()
 
-    play_warped(scene())
+    play_in_virtual_time(scene())
 
 
 @pytest.mark.parametrize("after_s", [0.0, 0.01, 0.3, 0.49, 0.51, 0.6, 1.2])
@@ -292,7 +292,7 @@
             await until(lambda: w.sidecar.frontend.is_empty())
             writer.close()
 
-    play_warped(scene())
+    play_in_virtual_time(scene())
 
 
 @pytest.mark.parametrize("in_one_write", [True, False])
@@ -316,4 +316,4 @@
             assert [head["x-call-id"] for _, head, _ in w.sent()] == ["first"]
             writer.close()
 
-    play_warped(scene())
+    play_in_virtual_time(scene())
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -68,7 +68,7 @@
     assert [each.request for each in stage.said(Refuse)] == [request]
 
 
-def test_late_and_unknown_news_is_ignored() -> None:
+def test_late_and_unknown_events_are_ignored() -> None:
     stage = Stage()
     stage.servers(names(3))
     request = stage.request()
@@ -81,7 +81,7 @@
     assert len(stage.log) == before
 
 
-def test_a_client_that_left_is_owed_nothing_and_its_attempt_is_called_off() -> None:
+def test_a_client_that_left_gets_no_answer_and_its_attempt_is_cancelled() -> None:
     stage = Stage()
     stage.servers(names(3))
     request = stage.request("pay")
@@ -201,7 +201,7 @@
     assert len(stage.sends(stage.request())) == 1
 
 
-def test_the_list_is_followed_from_the_first_event() -> None:
+def test_the_registry_is_watched_from_the_first_event() -> None:
     stage = Stage()
     stage.servers(names(2), RegistryUpdateKind.CACHED)
     assert stage.said(WatchRegistry) == [WatchRegistry(True)]
@@ -487,7 +487,7 @@
         assert len(set(told)) > 1 if most else not any(told)  # spread out
 
 
-def test_a_new_balancer_does_not_size_its_window_by_its_first_answers() -> None:
+def test_a_new_balancer_does_not_set_its_limit_by_its_first_answers() -> None:
     # Guards against refusals after each restart: all connections are new, and the rates not full yet.
     balancer = Stage().balancer
     for latency_ratio in [0.5] * 8:
--- a/tests/warped.py
+++ b/tests/virtual_time.py
@@ -23,7 +23,7 @@
 STEP_S = 0.1  # and time moves on by no more than this at once
 
 
-class Warping(selectors.DefaultSelector):
+class SkippingSelector(selectors.DefaultSelector):
     """Waits for hardly longer than a glance, and counts what was to be waited for as passed."""
 
     passed = 0.0
@@ -36,15 +36,15 @@
         return ready
 
 
-class WarpedLoop(asyncio.SelectorEventLoop):
+class VirtualTimeLoop(asyncio.SelectorEventLoop):
     """Its clock counts turns and waits, not what runs between them: a busy machine changes nothing."""
 
     def __init__(self) -> None:
-        self.warping = Warping()
-        super().__init__(self.warping)
+        self.time_selector = SkippingSelector()
+        super().__init__(self.time_selector)
 
     def time(self) -> float:
-        return self.warping.passed
+        return self.time_selector.passed
 
 
 def _loop_clock(clock: sidecar.Clock) -> int:
@@ -52,9 +52,9 @@
     return int(asyncio.get_running_loop().time() * 1e6) + clock._offset_us
 
 
-def play_warped(scene: Coroutine[Any, Any, None]) -> None:
-    """Run an asynchronous test on the warped clock, which the module reads too."""
-    with pytest.MonkeyPatch.context() as patch, asyncio.Runner(loop_factory=WarpedLoop) as runner:
+def play_in_virtual_time(scene: Coroutine[Any, Any, None]) -> None:
+    """Run an asynchronous test on a virtual clock, which the module reads too."""
+    with pytest.MonkeyPatch.context() as patch, asyncio.Runner(loop_factory=VirtualTimeLoop) as runner:
         patch.setattr(sidecar.Clock, "now", _loop_clock)
         runner.run(scene)
 
