--- a/tests/scale/test_control.py
+++ b/tests/scale/test_control.py
@@ -112,9 +112,16 @@
 def test_lines_are_fitted_for_each_metric_with_all_else_alike() -> None:
     def measured(value: float, **labels: Any) -> Measurement:
         return Measurement(
-            experiment="e", kind="control", seed=1, commit="c", role="sidecar",
-            metric="memory", value=value, unit="bytes", labels=labels,
-        )  # fmt: skip
+            experiment="e",
+            kind="control",
+            seed=1,
+            commit="c",
+            role="sidecar",
+            metric="memory",
+            value=value,
+            unit="bytes",
+            labels=labels,
+        )
 
     points = [measured(10.0 + 2.0 * size, servers=size, phase="steady") for size in (10, 20, 30)]
     [fitted] = fit_slopes([*points, measured(7.0, servers=10, phase="start")], "servers")
--- a/tests/test_dedup_window.py
+++ b/tests/test_dedup_window.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 
 import pytest
 from helpers import S
@@ -10,7 +11,7 @@
 
 from topazbank.interface import ServerState
 from topazbank.net import upstream
-from topazbank.net.upstream import Connection
+from topazbank.net.upstream import Address, Connection
 
 
 def other_than(w: World, first: FakeServer) -> str:
@@ -26,9 +27,11 @@
     dials: list[object] = []
     connect = upstream.connect
 
-    async def second_held_up(*given: object) -> Connection:
-        dials.append(given)
-        connection = await connect(*given)  # type: ignore[arg-type]
+    async def second_held_up(
+        address: Address, body_most: int, stall_s: float | None = None, sock: socket.socket | None = None
+    ) -> Connection:
+        dials.append(address)
+        connection = await connect(address, body_most, stall_s, sock)
         if len(dials) == 2:
             dialled.set()
             await go_on.wait()
