Hold the port that the tests' program is told to listen at

A port picked and given back before the program starts may go to another connection: one run of test_idle_clients_fill_the_descriptors_while_discovery_is_down[256] at load 18 ended with 'address already in use'. Seen once; not forced by a test of its own.

--- a/scale/ports.py
+++ b/scale/ports.py
@@ -29,4 +29,8 @@
     def __exit__(
         self, kind: type[BaseException] | None, error: BaseException | None, trace: TracebackType | None
     ) -> None:
+        self.close()
+
+    def close(self) -> None:
+        """Give the port back."""
         self._socket.close()
--- a/tests/test_life.py
+++ b/tests/test_life.py
@@ -31,6 +31,7 @@
     world,
 )
 
+from scale.ports import ReservedAddress
 from topazbank.__main__ import Flood
 from topazbank.net import sidecar
 from topazbank.net.upstream import Address
@@ -121,10 +122,8 @@
     others = [server.entry(name=each, address=each) for each in listed]
     known = {"index": 1, "snapshot": True, "endpoints": [server.entry(), *others]}
     where = "{}:{}".format(*discovery.address)
-    # Port 0 is no address to be told, so a free one is picked and given back just before.
-    free = await asyncio.start_server(lambda reader, writer: None, "127.0.0.1", 0)
-    listen: Address = free.sockets[0].getsockname()[:2]
-    free.close()
+    reserved = ReservedAddress()  # port 0 is no address to be told; one given back may be taken by others
+    listen = reserved.address
     given = config(listen="{}:{}".format(*listen), discovery=where, known=known)
     if descriptors is not None:
         given["limits"] = {"sockets": descriptors}
@@ -141,6 +140,7 @@
         with contextlib.suppress(ProcessLookupError):
             process.kill()
         await process.communicate()
+        reserved.close()
         server.stop()
         discovery.stop()
 
