--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -222,8 +222,10 @@
     made: list[Connection] = []
     connect = upstream.connect
 
-    async def noted(*given: object) -> Connection:
-        made.append(await connect(*given))  # type: ignore[arg-type]
+    async def noted(
+        address: Address, body_most: int, stall_s: float | None = None, sock: socket.socket | None = None
+    ) -> Connection:
+        made.append(await connect(address, body_most, stall_s, sock))
         return made[-1]
 
     monkeypatch.setattr(upstream, "connect", noted)
--- a/tests/test_dedup_window.py
+++ b/tests/test_dedup_window.py
@@ -83,6 +83,7 @@
                 (live,) = w.sidecar._live.values()
                 exchange = live.out[1]
                 assert exchange is not None and not exchange.is_written()
+                # asyncio's types leave out the callback of a timer.
                 (timer,) = [each for each in exchange.timers if each._callback == w.sidecar._repeat_over]  # type: ignore[attr-defined]
                 due = w.sidecar._clock.on_loop(w.sidecar._clock.now() + 2 * S)
                 assert timer.when() < due  # counted from the attempt before
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -576,7 +576,7 @@
 
             before = len(os.listdir("/proc/self/fd"))
             frontend._pause()
-            frontend._accept = noted  # type: ignore[method-assign]
+            frontend._accept = noted  # type: ignore[method-assign]  # counts descriptors at each call
             frontend._accept_again()
             former = set(frontend.connections)
             await until(lambda: len(set(frontend.connections) - former) == 40)
