Review, case 2: a second answer some milliseconds late is given to another caller

Cause: a connection rests after an answer for 0.12 of the time limit for dials, and for no other reason.

--- a/review/standins/server.py
+++ b/review/standins/server.py
@@ -16,11 +16,11 @@
 
     Attributes:
         service_time_s: Draws the seconds that a request takes.
-        second_answer_after_s: Seconds after which each answer is sent a second time; None: never.
+        second_answer_after_s: Draws the seconds after which an answer is sent a second time; None: it is not.
     """
 
     service_time_s: Callable[[], float]
-    second_answer_after_s: float | None = None
+    second_answer_after_s: Callable[[], float | None] = lambda: None
 
 
 class Server:
@@ -60,10 +60,10 @@
         body = answer_body(call_id)
         answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
         writer.write(answer)
-        if self._behaviour.second_answer_after_s is not None:
-            asyncio.get_running_loop().call_later(
-                self._behaviour.second_answer_after_s, self._write_again, call_id, answer, writer
-            )
+        delay_s = self._behaviour.second_answer_after_s()
+        if delay_s is not None:
+            loop = asyncio.get_running_loop()
+            loop.call_later(delay_s, self._write_again, call_id, answer, writer)
 
     def _write_again(self, call_id: str, answer: bytes, writer: asyncio.StreamWriter) -> None:
         if not writer.is_closing():
