--- a/review/1/case.py
+++ b/review/1/case.py
@@ -7,9 +7,9 @@
 import sys
 import time
 from pathlib import Path
-from typing import Any
 
 from standins.deployment import Deployment, run_case
+from standins.load import Load
 from standins.messages import read_message
 from standins.record import Record
 from standins.rules import find_lost
@@ -17,10 +17,7 @@
 
 _SERVERS = 12
 _SERVICE_TIME_S = (0.01, 0.03)
-_DEADLINE_US = 1_000_000
-_BUDGET_S = (0.7, 1.0)  # a try is given up after 70 to 100% of the deadline of its class
-_REQUESTS_PER_S = 40.0
-_DURATION_S = 9.0
+_LOAD = Load()
 _TROUBLE_AT_S = 2.0
 
 _BAD_CLIENTS = 12
@@ -29,19 +26,6 @@
 _BAD_CLIENT_STAYS_S = 8.0
 
 
-def _change_config(config: dict[str, Any]) -> None:
-    for service_class in config["settings"]["lanes"]:
-        service_class["giveUpUs"] = _DEADLINE_US
-
-
-async def _send_requests(deployment: Deployment, rng: random.Random) -> None:
-    until = time.monotonic() + _DURATION_S
-    async with asyncio.TaskGroup() as tasks:
-        while time.monotonic() < until:
-            tasks.create_task(deployment.client.get("read", rng.uniform(*_BUDGET_S)))
-            await asyncio.sleep(rng.expovariate(_REQUESTS_PER_S))
-
-
 async def _send_bad_request(deployment: Deployment, number: int) -> None:
     """Send a request without its end, as much as fits at once, and wait for an error or a close."""
     head = (
@@ -61,9 +45,9 @@
 
 
 async def _play(deployment: Deployment) -> bool:
-    await deployment.start(_change_config)
+    await deployment.start(_LOAD.set_deadlines)
     async with asyncio.TaskGroup() as tasks:
-        tasks.create_task(_send_requests(deployment, random.Random(1)))
+        tasks.create_task(_LOAD.send(deployment.client, seed=1))
         if deployment.has_trouble:
             await asyncio.sleep(_TROUBLE_AT_S)
             deployment.record.add(f"{_BAD_CLIENTS} bad clients connect")
--- a/review/standins/sidecar.py
+++ b/review/standins/sidecar.py
@@ -34,7 +34,8 @@
     """
 
     def __init__(self) -> None:
-        self.port = _free_port()
+        self._reservation = _reserve_port()
+        self.port: int = self._reservation.getsockname()[1]
         self._folder = tempfile.TemporaryDirectory()
         self._process: subprocess.Popen[bytes] | None = None
 
@@ -96,6 +97,7 @@
             except subprocess.TimeoutExpired:
                 self._process.kill()
                 self._process.wait()
+        self._reservation.close()
         self._folder.cleanup()
 
     def _is_ready(self) -> bool:
@@ -120,8 +122,12 @@
     }
 
 
-def _free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        port: int = probe.getsockname()[1]
-        return port
+def _reserve_port() -> socket.socket:
+    """Bind a socket to a free port without listening, so that nobody else gets the port.
+
+    The sidecar sets SO_REUSEADDR, so it can listen there all the same.
+    """
+    reservation = socket.socket()
+    reservation.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    reservation.bind(("127.0.0.1", 0))
+    return reservation
