--- a/review/1/case.py
+++ b/review/1/case.py
@@ -45,7 +45,7 @@
 
 
 async def _play(deployment: Deployment) -> bool:
-    await deployment.start(_LOAD.set_deadlines)
+    await deployment.start(_LOAD.change_settings)
     async with asyncio.TaskGroup() as tasks:
         tasks.create_task(_LOAD.send(deployment.client, seed=1))
         if deployment.has_trouble:
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+import signal
 import sys
 import time
 import traceback
@@ -90,6 +91,7 @@
     Returns:
         The exit code.
     """
+    signal.signal(signal.SIGTERM, _stop)
     try:
         has_held = asyncio.run(_play(deployment, play))
         exit_code = EXIT_HELD if has_held else EXIT_BROKEN
@@ -102,6 +104,11 @@
     return exit_code
 
 
+def _stop(_signal: int, _frame: object) -> None:
+    """End the run; the processes that it has started are ended on the way out."""
+    sys.exit(EXIT_COULD_NOT_RUN)
+
+
 async def _play(deployment: Deployment, play: Callable[[Deployment], Awaitable[bool]]) -> bool:
     async with asyncio.timeout(_RUN_TIMEOUT_S):
         has_held = await play(deployment)
