Parse bodies in many small chunks in turns, so that other requests get their answers

Cause: client_connection.data_received and RequestReader.read parsed all of one read in one turn of the event loop. 64 KiB hold 10,900 chunks of one byte, 76 ms in h11; twelve such bodies take 5 s, in which no other socket, deadline or time limit was served. The time limit of an incomplete request also waited for unread data, which there always was.

Evidence: on a virtual clock on which only parsing takes time the former code answers another client after 5.2 s, and the loop monitor reports 4,920 ms of lag. Ruled out: the look-ahead (it does not run for a first request), rejections under overload (they are answers), the CPU time as such (a core stays busy for 2 s with the fix, and nothing is lost).

Change: a request may take 32 parser events at once. After that it is parsed in turns of 64 events, one turn in each iteration of the event loop for all connections together, and its connection is not read on meanwhile. The time limit applies to such a connection (408, 'too many small chunks' in the log), waiting for a turn is deducted from the budget, and a client that has left is noticed before its request is forwarded.

--- a/sidecar/proxy/__init__.py
+++ b/sidecar/proxy/__init__.py
@@ -13,5 +13,6 @@
   writes requests, `response_reader` parses responses, and `load_reports` parses the load reports in them.
 - The registry: `endpoint_list` applies what `discovery_client` receives and `registry_messages` parses.
 - The process: `shutdown` drains it, and `loop_lag` monitors its event loop.
-- Shared by all: `addresses`, `clock`, `event_loop`, `http_messages` and `sockets`.
+- Shared by all: `addresses`, `clock`, `event_loop`, `http_messages` and `sockets`; `incremental_parser`,
+  `paced_reading` and `parsing_queue` bound the time for which one peer's bytes occupy the event loop.
 """
--- a/sidecar/proxy/client_connection.py
+++ b/sidecar/proxy/client_connection.py
@@ -20,9 +20,11 @@
 from sidecar.proxy.connection_state import ConnectionState
 from sidecar.proxy.event_loop import NEGLIGIBLE_WAIT_S, earliest_arrival
 from sidecar.proxy.http_messages import Headers, encode_message
+from sidecar.proxy.paced_reading import PacedReading
 from sidecar.proxy.request_errors import (
     InternalError,
     MalformedRequestError,
+    ParsingTimeoutError,
     PathNotFoundError,
     RequestError,
     RequestIdInUseError,
@@ -98,6 +100,7 @@
         self._was_queued_with_data = False  # the first data arrived before the setup
         self._reader = RequestReader(self._write)
         self._transport: asyncio.Transport | None = None
+        self._pacing: PacedReading | None = None
         self._request: ClientRequest | None = None  # the request in flight
         self._write_blocked = False  # the last response has not been fully written
         self._discarded_bytes: int | None = None  # discarded so far; None while data is parsed
@@ -108,12 +111,15 @@
         """Register the connection once its transport is ready."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        self._pacing = PacedReading(transport, self._sock, self._has_backlog, self._read_deferred)
         self._was_queued_with_data = self.has_unread_data()
         transport.set_write_buffer_limits(high=0)
         self._owner.connection_opened(self, self._sock)
 
     def connection_lost(self, _exc: Exception | None) -> None:
         """Unregister the connection, and drop the request in flight."""
+        if self._pacing is not None:
+            self._pacing.stop()
         self._owner.connection_closed(self)
         self._abandon_request()
 
@@ -207,16 +213,25 @@
             self._fail_in_flight()
         elif self.is_idle():
             self.close()
+        elif self._is_reading_paused():
+            self._reject(ParsingTimeoutError())
         elif self.state is not ConnectionState.IDLE and not self.has_unread_data():
             self._reject(RequestTimeoutError())
 
     # -- Reading --------------------------------------------------------------------------------------
 
+    def _is_reading_paused(self) -> bool:
+        return self._pacing is not None and self._pacing.is_paused
+
     def _record_arrival(self) -> None:
         """Record the earliest time at which the data can have arrived.
 
-        For pipelined data that arrives in parts, this is the time of its first byte.
+        For pipelined data that arrives in parts, this is the time of its first byte.  Data that arrived while
+        reading was paused counts as arrived before the pause.
         """
+        if self._pacing is not None and self._pacing.has_next_data_waited:
+            self._pacing.has_next_data_waited = False
+            return
         if (self._request is not None or self._write_blocked) and self._reader.unread:
             return
         if not self._was_queued_with_data:
@@ -231,10 +246,14 @@
         waited_s = asyncio.get_running_loop().time() - self._earliest_arrival
         return int(waited_s * 1e6) if waited_s > NEGLIGIBLE_WAIT_S else 0
 
-    def _read(self) -> None:
-        """Read at most one request, and handle it once it is complete."""
+    def _read(self, max_events: int | None = None) -> None:
+        """Read at most one request, and handle it once it is complete.
+
+        Args:
+            max_events: How many events to parse at most; None: as many as the request may take at once.
+        """
         try:
-            request = self._reader.read()
+            request = self._reader.read(max_events)
             if request is not None:
                 self._handle_request(request)
         except RequestError as error:
@@ -246,6 +265,21 @@
             self._fail_unhandled()
         if self.state is ConnectionState.IDLE and self.has_partial_request():
             self._owner.change_state(self, ConnectionState.READING)
+        self._update_pacing()
+
+    def _read_deferred(self, max_events: int) -> None:
+        """Continue to read a request, unless its client has disconnected in the meantime."""
+        if self.is_disconnected():
+            self.abort()
+        else:
+            self._read(max_events)
+
+    def _has_backlog(self) -> bool:
+        return self._discarded_bytes is None and self._reader.has_backlog
+
+    def _update_pacing(self) -> None:
+        if self._pacing is not None:
+            self._pacing.update()
 
     def _fail_unhandled(self) -> None:
         """Reject the request whose handling raised an unexpected error; half-close if it was answered."""
@@ -411,6 +445,7 @@
         if self._transport is None or self._transport.is_closing():
             return
         self._discarded_bytes = 0
+        self._update_pacing()
         self._owner.change_state(self, ConnectionState.DELIVERING)
         try:
             self._transport.write_eof()
--- /dev/null
+++ b/sidecar/proxy/incremental_parser.py
@@ -0,0 +1,81 @@
+"""Parses HTTP/1.1 messages in steps of bounded cost.
+
+The cost of parsing depends on the number of chunks and header lines rather than on the number of bytes: one
+read of 64 KiB may hold 11,000 chunks, which take 75 ms of CPU time.
+"""
+
+from __future__ import annotations
+
+import h11
+
+_PIECE_BYTES = 4 * 1024
+# How many events of a message its connection may parse at once; the shared parsing queue paces the rest.
+_IMMEDIATE_EVENTS = 32
+
+Event = h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]
+
+
+class IncrementalParser:
+    """Parses one message; feeds h11 with a small piece of the received data at a time.
+
+    Attributes:
+        connection: The h11 connection; data for it must pass through this parser.
+    """
+
+    def __init__(self, connection: h11.Connection) -> None:
+        """Create a parser that has received no data.
+
+        Args:
+            connection: An h11 connection that awaits a message.
+        """
+        self.connection = connection
+        self._pending = bytearray()  # received and not yet passed to h11
+        self._needs_data = True
+        self._event_count = 0
+
+    @property
+    def unparsed(self) -> bytes:
+        """The received data that is not part of the events so far."""
+        data, _ = self.connection.trailing_data
+        return data + self._pending
+
+    @property
+    def immediate_events(self) -> int:
+        """How many more events of the message may be parsed without waiting for the parsing queue."""
+        return max(_IMMEDIATE_EVENTS - self._event_count, 0)
+
+    def receive(self, data: bytes) -> None:
+        """Add received data."""
+        self._pending += data
+
+    def receive_end(self) -> None:
+        """Record that the peer sends no more data."""
+        if self._pending:
+            self.connection.receive_data(self._take_pending(len(self._pending)))
+        self.connection.receive_data(b"")
+
+    def next_event(self) -> Event:
+        """Parse the next event.
+
+        Returns:
+            The event; as in h11, NEED_DATA if it has not been received completely, and PAUSED if the message
+            is complete and data follows.
+
+        Raises:
+            h11.RemoteProtocolError: The data is not a valid message.
+        """
+        while True:
+            if self._needs_data and self._pending:
+                self.connection.receive_data(self._take_pending(_PIECE_BYTES))
+            event = self.connection.next_event()
+            self._needs_data = event is h11.NEED_DATA
+            if not (self._needs_data and self._pending):
+                break
+        if not self._needs_data:
+            self._event_count += 1
+        return event
+
+    def _take_pending(self, byte_count: int) -> bytes:
+        piece = bytes(self._pending[:byte_count])
+        del self._pending[:byte_count]
+        return piece
--- a/sidecar/proxy/request_errors.py
+++ b/sidecar/proxy/request_errors.py
@@ -105,6 +105,13 @@
         super().__init__("the request took too long to come")
 
 
+class ParsingTimeoutError(RequestTimeoutError):
+    """The request arrived in so many small chunks that its time limit passed before all were parsed."""
+
+    def __init__(self) -> None:
+        RequestError.__init__(self, "the request came in too many small chunks")
+
+
 class RequestIdInUseError(RequestError):
     """The request id is that of another request, so neither forwarding it nor a retry is safe."""
 
--- a/sidecar/proxy/request_reader.py
+++ b/sidecar/proxy/request_reader.py
@@ -7,6 +7,7 @@
 
 import h11
 
+from sidecar.proxy.incremental_parser import IncrementalParser
 from sidecar.proxy.request_errors import AmbiguousFramingError, BodyTooLargeError
 
 MAX_BODY_BYTES = 64 * 1024
@@ -38,7 +39,11 @@
 
 
 class RequestReader:
-    """Reads one request of a connection; `start_next` proceeds to the next one."""
+    """Reads one request of a connection; `start_next` proceeds to the next one.
+
+    Attributes:
+        has_backlog: Whether the last call that parsed data left some that can be parsed now.
+    """
 
     def __init__(self, write: Callable[[bytes], None]) -> None:
         """Create a reader.
@@ -46,15 +51,16 @@
         Args:
             write: Sends an interim response to the client.
         """
+        self.has_backlog = False
         self._write = write
-        self._h11 = h11.Connection(h11.SERVER)  # only reads, and only one request
+        self._parser = _new_parser()
         self._head: h11.Request | None = None
         self._body = bytearray()
 
     @property
     def unread(self) -> bytes:
         """The received data that has not been parsed as part of the request."""
-        return self._h11.trailing_data[0]
+        return self._parser.unparsed
 
     @property
     def has_head(self) -> bool:
@@ -69,7 +75,7 @@
     @property
     def is_complete(self) -> bool:
         """Whether the request was read completely and its connection may carry another one."""
-        return self._h11.their_state is h11.DONE
+        return self._parser.connection.their_state is h11.DONE
 
     def has_partial_request(self) -> bool:
         """Return whether part of a request that has not been answered has arrived."""
@@ -77,11 +83,14 @@
 
     def receive(self, data: bytes) -> None:
         """Add received data."""
-        self._h11.receive_data(data)
+        self._parser.receive(data)
 
-    def read(self) -> ReceivedRequest | None:
+    def read(self, max_events: int | None = None) -> ReceivedRequest | None:
         """Parse the received data, at most to the end of the request.
 
+        Args:
+            max_events: How many events to parse at most; None: as many as the request may take at once.
+
         Returns:
             The request, or None while it is incomplete.
 
@@ -89,17 +98,17 @@
             RequestError: The request is not allowed.
             h11.RemoteProtocolError: The data is not a valid request.
         """
-        event = self._h11.next_event()
-        while isinstance(event, h11.Request | h11.Data):
+        self.has_backlog = False
+        for _ in range(self._parser.immediate_events if max_events is None else max_events):
+            event = self._parser.next_event()
             if isinstance(event, h11.Request):
                 self._begin(event)
-            else:
+            elif isinstance(event, h11.Data):
                 self._add_body(event.data)
-            event = self._h11.next_event()
-        if not isinstance(event, h11.EndOfMessage):
-            return None
-        assert self._head is not None
-        return ReceivedRequest(self._head, bytes(self._body))
+            else:
+                return self._complete() if isinstance(event, h11.EndOfMessage) else None
+        self.has_backlog = True
+        return None
 
     def discard_request(self) -> None:
         """Discard the request, which has been answered."""
@@ -108,9 +117,8 @@
     def start_next(self) -> None:
         """Proceed to the next request, which begins with the unread data."""
         unread = self.unread
-        self._h11 = h11.Connection(h11.SERVER)
-        if unread:
-            self._h11.receive_data(unread)
+        self._parser = _new_parser()
+        self._parser.receive(unread)
 
     def is_next_complete(self) -> bool:
         """Return whether the pipelined data begins with a complete request.
@@ -125,6 +133,10 @@
             event = lookahead.next_event()
         return event is not h11.NEED_DATA
 
+    def _complete(self) -> ReceivedRequest:
+        assert self._head is not None  # h11 emits it first
+        return ReceivedRequest(self._head, bytes(self._body))
+
     def _begin(self, head: h11.Request) -> None:
         self._head = head
         framing = {name: value for name, value in head.headers if name in _FRAMING_HEADERS}
@@ -132,11 +144,16 @@
             raise AmbiguousFramingError
         if int(framing.get(b"content-length", b"0")) > MAX_BODY_BYTES:
             raise BodyTooLargeError
-        if self._h11.they_are_waiting_for_100_continue:
+        if self._parser.connection.they_are_waiting_for_100_continue:
             continue_response = h11.InformationalResponse(status_code=100, headers=[])
-            self._write(self._h11.send(continue_response) or b"")
+            self._write(self._parser.connection.send(continue_response) or b"")
 
     def _add_body(self, data: bytes | bytearray) -> None:
         self._body += data
         if len(self._body) > MAX_BODY_BYTES:
             raise BodyTooLargeError
+
+
+def _new_parser() -> IncrementalParser:
+    """Return a parser for one request."""
+    return IncrementalParser(h11.Connection(h11.SERVER))
--- /dev/null
+++ b/tests/proxy/test_bodies_in_small_chunks.py
@@ -0,0 +1,133 @@
+"""Bodies in very small chunks take long to parse; that must not delay anything else."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from parsing_cost import LAST_CHUNK, ParsingCost, chunked_request
+from proxy_harness import (
+    TIMEOUT_S,
+    ProxyHarness,
+    read_response,
+    request,
+    respond_ok,
+    run_scenario,
+    running_proxy,
+    send_request,
+    wait_until,
+)
+from virtual_time import advance, now_s, run_in_virtual_time
+
+EVENT_S = 70e-6  # ten times what an event takes, for a tenth of the chunks
+BODY = bytes(range(256)) * 24  # its chunks take 0.43 s
+PEER_COUNT = 12
+BUDGET_S = 1.0
+MAX_LATENESS_S = 0.5  # a request that is answered later after its time counts as lost
+BAD_CLIENT_TIMEOUT_S = 3.0  # within this time a client that breaks the protocol gets an error or a close
+
+
+async def check_other_requests(proxy: ProxyHarness, duration_s: float) -> None:
+    """Send requests for a while, and check that each is answered in its time."""
+    until_s = now_s() + duration_s
+    while now_s() < until_s:
+        sent_at = now_s()
+        status, _, _ = await proxy.send_request(budget=f"{BUDGET_S}")
+        assert now_s() < sent_at + BUDGET_S + MAX_LATENESS_S
+        assert status == 200
+        await advance(0.05)
+
+
+# Guards against requests that are never answered while bad clients send very small chunks (review/1).
+def test_clients_that_send_small_chunks_and_stop_delay_no_other_request(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def bad_client(proxy: ProxyHarness) -> None:
+        reader, writer = await proxy.connect()
+        started_at = now_s()
+        writer.write(chunked_request(BODY))
+        raw_response = await asyncio.wait_for(reader.read(), TIMEOUT_S)
+        assert raw_response.startswith(b"HTTP/1.1 408 ")
+        assert raw_response.endswith(b"too many small chunks\n")
+        assert now_s() < started_at + BAD_CLIENT_TIMEOUT_S
+        writer.close()
+
+    async def scenario() -> None:
+        async with running_proxy(respond_ok) as proxy:
+            ParsingCost(monkeypatch, EVENT_S)
+            async with asyncio.TaskGroup() as tasks:
+                for _ in range(PEER_COUNT):
+                    tasks.create_task(bad_client(proxy))
+                await check_other_requests(proxy, duration_s=4.0)
+            assert all(body == b"" for _, _, body in proxy.server_requests())
+
+    run_in_virtual_time(scenario())
+
+
+@pytest.mark.parametrize("piece_bytes", [1000, 1_000_000])
+def test_complete_request_in_small_chunks_is_served_unchanged(piece_bytes: int) -> None:
+    async def scenario() -> None:
+        body = bytes(range(256)) * 200  # more than one read holds
+        data = chunked_request(body) + LAST_CHUNK
+        async with running_proxy(respond_ok) as proxy:
+            reader, writer = await proxy.connect()
+            for start in range(0, len(data), piece_bytes):
+                writer.write(data[start : start + piece_bytes])
+                await writer.drain()
+            assert (await read_response(reader))[0] == 200
+            assert proxy.server_requests()[0][2] == body
+            writer.write(request(X_Call_Id="next"))  # the connection is read again
+            assert (await read_response(reader))[0] == 200
+            writer.close()
+
+    run_scenario(scenario())
+
+
+# Guards against an attempt that gets time which has passed while its request waited to be parsed.
+def test_time_that_parsing_took_is_deducted_from_the_budget(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def scenario() -> None:
+        async with running_proxy(respond_ok) as proxy:
+            ParsingCost(monkeypatch, EVENT_S)
+            data = chunked_request(BODY, budget="2.0") + LAST_CHUNK
+            assert (await send_request(proxy.sidecar.frontend.address, data))[0] == 200
+            _, headers, _ = proxy.server_requests()[0]
+            assert float(headers["x-budget"]) <= 2.0 - EVENT_S * len(BODY)
+
+    run_in_virtual_time(scenario())
+
+
+# Guards against deducting the time between two requests on a connection from the second one.
+def test_later_request_on_the_connection_has_its_whole_budget(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def scenario() -> None:
+        async with running_proxy(respond_ok) as proxy:
+            ParsingCost(monkeypatch, EVENT_S)
+            reader, writer = await proxy.connect()
+            writer.write(chunked_request(BODY, X_Call_Id="first") + LAST_CHUNK)
+            assert (await read_response(reader))[0] == 200
+            await advance(1.5)
+            writer.write(request(budget="1.0"))
+            assert (await read_response(reader))[0] == 200
+            _, headers, _ = proxy.server_requests()[1]
+            assert float(headers["x-budget"]) > 0.9
+            writer.close()
+
+    run_in_virtual_time(scenario())
+
+
+# Guards against an attempt for a client that has left while its request waited to be parsed.
+def test_request_whose_client_leaves_while_it_is_parsed_is_not_forwarded(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def scenario() -> None:
+        async with running_proxy(respond_ok) as proxy:
+            cost = ParsingCost(monkeypatch)
+            _, writer = await proxy.connect()
+            writer.write(chunked_request(BODY) + LAST_CHUNK)
+            await wait_until(lambda: cost.events)
+            assert cost.events < len(BODY)
+            writer.close()
+            await wait_until(proxy.sidecar.frontend.has_no_connections)
+            assert not proxy.server_requests()
+            assert cost.events < len(BODY)
+
+    run_scenario(scenario())
