Parse responses in many small chunks in turns, too

While several servers, or the registry, respond in very small chunks, nobody is answered.

Cause: server_connection._parse and ResponseReader.feed parsed all of one read in one turn of the event loop.

Evidence: with twelve responses of 6,144 chunks, on a virtual clock on which only parsing takes time, test_servers_that_respond_in_small_chunks_delay_no_other_request gets an answer after 5.17 s on.

Change: a response uses the same parser, pacing and queue as a request; the end of a connection has its own method. A body with a length goes to h11 in one piece again, as only chunks and header lines are expensive.

--- a/sidecar/proxy/incremental_parser.py
+++ b/sidecar/proxy/incremental_parser.py
@@ -6,11 +6,14 @@
 
 from __future__ import annotations
 
+import sys
+
 import h11
 
 _PIECE_BYTES = 4 * 1024
 # How many events of a message its connection may parse at once; the shared parsing queue paces the rest.
 _IMMEDIATE_EVENTS = 32
+_HEADS = (h11.Request, h11.Response)
 
 Event = h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]
 
@@ -31,6 +34,7 @@
         self.connection = connection
         self._pending = bytearray()  # received and not yet passed to h11
         self._needs_data = True
+        self._piece_bytes = _PIECE_BYTES
         self._event_count = 0
 
     @property
@@ -66,16 +70,26 @@
         """
         while True:
             if self._needs_data and self._pending:
-                self.connection.receive_data(self._take_pending(_PIECE_BYTES))
+                self.connection.receive_data(self._take_pending(self._piece_bytes))
             event = self.connection.next_event()
             self._needs_data = event is h11.NEED_DATA
             if not (self._needs_data and self._pending):
                 break
         if not self._needs_data:
             self._event_count += 1
+        if self._pending and isinstance(event, _HEADS) and not _is_chunked(event):
+            self._piece_bytes = sys.maxsize  # one step takes all of its body
         return event
 
     def _take_pending(self, byte_count: int) -> bytes:
+        if len(self._pending) <= byte_count:
+            piece = bytes(self._pending)
+            self._pending.clear()
+            return piece
         piece = bytes(self._pending[:byte_count])
         del self._pending[:byte_count]
         return piece
+
+
+def _is_chunked(head: h11.Request | h11.Response) -> bool:
+    return any(name == b"transfer-encoding" for name, _ in head.headers)
--- a/sidecar/proxy/response_reader.py
+++ b/sidecar/proxy/response_reader.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import itertools
 from dataclasses import dataclass
 
 import h11
 
 from sidecar.proxy.http_messages import Response
+from sidecar.proxy.incremental_parser import Event, IncrementalParser
 
 _MAX_INFORMATIONAL_RESPONSES = 8  # 1xx responses ahead of the final one
 _CONTENT_LENGTH = b"content-length"
@@ -58,51 +60,75 @@
 
 
 class ResponseReader:
-    """Parses the response to one request."""
+    """Parses the response to one request.
+
+    Attributes:
+        has_backlog: Whether the last call that parsed data left some that can be parsed now.
+    """
 
     def __init__(self, max_body_bytes: int) -> None:
+        self.has_backlog = False
         self._max_body_bytes = max_body_bytes
-        self._parser = h11.Connection(h11.CLIENT)
+        self._connection = h11.Connection(h11.CLIENT)
         for event in _PARSER_REQUEST:
-            self._parser.send(event)
+            self._connection.send(event)
+        self._parser = IncrementalParser(self._connection)
         self._informational_responses = 0
         self._head: h11.Response | None = None
         self._body = bytearray()
 
     def has_begun(self) -> bool:
         """Return whether a part of the response has been received."""
-        return self._head is not None or bool(self._unparsed())
+        return self._head is not None or bool(self._parser.unparsed)
+
+    def receive(self, data: bytes) -> None:
+        """Add received bytes."""
+        self._parser.receive(data)
 
-    def feed(self, data: bytes) -> ReceivedResponse | None:
-        """Parse received bytes.
+    def parse(self, max_events: int | None = None) -> ReceivedResponse | None:
+        """Parse the received bytes, at most to the end of the response.
 
         Args:
-            data: The bytes; empty at the end of the connection, which completes a response that declares no
-                length.
+            max_events: How many events to parse at most; None: as many as the response may take at once.
 
         Returns:
             The response, or None while it is incomplete.
 
         Raises:
             MalformedResponseError: It is not a response, or exceeds a limit.
-            TruncatedResponseError: It was incomplete at the end of the connection.
         """
         try:
-            self._parser.receive_data(data)
-            return self._parse()
+            return self._parse(self._parser.immediate_events if max_events is None else max_events)
+        except h11.RemoteProtocolError as error:
+            raise MalformedResponseError(str(error)) from error
+
+    def finish(self) -> ReceivedResponse | None:
+        """Parse the rest at the end of the connection, which completes a response that declares no length.
+
+        Returns:
+            The response, or None if there is none.
+
+        Raises:
+            MalformedResponseError: It exceeds a limit.
+            TruncatedResponseError: It is incomplete.
+        """
+        self._parser.receive_end()
+        try:
+            return self._parse(None)
         except h11.RemoteProtocolError as error:
-            if data:
-                raise MalformedResponseError(str(error)) from error
             raise TruncatedResponseError from error
 
-    def _parse(self) -> ReceivedResponse | None:
-        while True:
+    def _parse(self, max_events: int | None) -> ReceivedResponse | None:
+        self.has_backlog = False
+        for _ in itertools.repeat(None) if max_events is None else range(max_events):
             event = self._parser.next_event()
             received = self._on_event(event)
             if received is not None or isinstance(event, _NO_FURTHER_EVENT):
                 return received
+        self.has_backlog = True
+        return None
 
-    def _on_event(self, event: object) -> ReceivedResponse | None:
+    def _on_event(self, event: Event) -> ReceivedResponse | None:
         if isinstance(event, h11.Response):
             return self._on_head(event)
         if isinstance(event, h11.EndOfMessage):
@@ -123,11 +149,13 @@
         content_length = next((value for name, value in head.headers if name == _CONTENT_LENGTH), b"0")
         if int(content_length) > self._max_body_bytes:
             raise ResponseTooLargeError(self._max_body_bytes)
-        body = self._unparsed()
+        body = self._parser.unparsed
         if not _is_complete_body(head, body):
             return None
         # Skips two events of h11: most bodies arrive together with their head.
-        return ReceivedResponse(_build_response(head, body), keep_alive=self._parser.our_state is h11.DONE)
+        return ReceivedResponse(
+            _build_response(head, body), keep_alive=self._connection.our_state is h11.DONE
+        )
 
     def _on_body_part(self, data: bytes) -> None:
         self._body += data
@@ -137,15 +165,11 @@
     def _on_end(self) -> ReceivedResponse:
         """Return the response, complete by its length or by an orderly close of its connection."""
         assert self._head is not None  # h11 emits it first
-        is_done = self._parser.our_state is h11.DONE and self._parser.their_state is h11.DONE
-        has_excess_data = bool(self._unparsed())
+        is_done = self._connection.our_state is h11.DONE and self._connection.their_state is h11.DONE
+        has_excess_data = bool(self._parser.unparsed)
         response = _build_response(self._head, bytes(self._body))
         return ReceivedResponse(response, is_done and not has_excess_data, has_excess_data)
 
-    def _unparsed(self) -> bytes:
-        data, _ = self._parser.trailing_data
-        return data
-
 
 def _is_complete_body(head: h11.Response, data: bytes) -> bool:
     """Return whether the bytes after a head are exactly the body that it declares."""
--- a/sidecar/proxy/server_connection.py
+++ b/sidecar/proxy/server_connection.py
@@ -14,6 +14,7 @@
 from sidecar.proxy.addresses import Address
 from sidecar.proxy.dialing import LOCAL_ERRNOS, close_quietly, connect_socket, open_socket
 from sidecar.proxy.http_messages import Response
+from sidecar.proxy.paced_reading import PacedReading
 from sidecar.proxy.request_transmission import RequestTransmission
 from sidecar.proxy.response_reader import (
     MalformedResponseError,
@@ -63,6 +64,7 @@
         self._response_timeout_s = response_timeout_s
         self._response_timer: asyncio.TimerHandle | None = None
         self._transport: asyncio.Transport | None = None
+        self._pacing: PacedReading | None = None
         self._transmission: RequestTransmission | None = None
         self._response_reader: ResponseReader | None = None
         self._on_response: ResponseCallback | None = None  # None: no request is in flight
@@ -123,6 +125,7 @@
         """Store the transport, and make it report whenever its write buffer is empty."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        self._pacing = PacedReading(transport, self.sock, self._has_backlog, self._parse)
         transport.set_write_buffer_limits(high=0)
 
     def resume_writing(self) -> None:
@@ -135,19 +138,23 @@
         if self._on_response is None:
             self.abort()
             return
-        self._parse(data)
+        assert self._response_reader is not None
+        self._response_reader.receive(data)
+        self._parse()
         self._start_response_timer()
 
     def eof_received(self) -> bool:
         """Complete a response that announces no length; the transport then closes."""
         self.is_reusable = False
-        if self._on_response is not None:
-            self._parse(b"")
+        if self._response_reader is not None:
+            self._handle_parsed(self._response_reader.finish)
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Report the end of the connection, and of the request that is in flight on it."""
         self.is_reusable = False
+        if self._pacing is not None:
+            self._pacing.stop()
         self.has_local_failure = isinstance(exc, OSError) and exc.errno in LOCAL_ERRNOS
         self._cancel_response_timer()
         self._notify(None)
@@ -155,10 +162,24 @@
 
     # -- The response ---------------------------------------------------------------------------------
 
-    def _parse(self, data: bytes) -> None:
-        assert self._response_reader is not None
+    def _has_backlog(self) -> bool:
+        return self._response_reader is not None and self._response_reader.has_backlog
+
+    def _parse(self, max_events: int | None = None) -> None:
+        """Parse received data; the rest of a response that takes long is parsed in turns.
+
+        Args:
+            max_events: How many events to parse at most; None: as many as the response may take at once.
+        """
+        if self._response_reader is not None:
+            self._handle_parsed(partial(self._response_reader.parse, max_events))
+        if self._pacing is not None:
+            self._pacing.update()
+
+    def _handle_parsed(self, parse: Callable[[], ReceivedResponse | None]) -> None:
+        """Call a method of the response reader, and handle the response if it is complete."""
         try:
-            received = self._response_reader.feed(data)
+            received = parse()
         except MalformedResponseError as error:
             self._reject_response(str(error))
         except TruncatedResponseError:
--- a/tests/proxy/parsing_cost.py
+++ b/tests/proxy/parsing_cost.py
@@ -7,7 +7,7 @@
 
 import h11
 import pytest
-from proxy_harness import request
+from proxy_harness import encode_response, request
 from virtual_time import VirtualTimeLoop
 
 LAST_CHUNK = b"0\r\n\r\n"
@@ -49,3 +49,9 @@
     """Return a request with a body in chunks of one byte, without the last chunk."""
     head = request("pay", **{"Content_Length": None, "Transfer_Encoding": "chunked", **changes})
     return head + in_chunks_of_one_byte(body)
+
+
+def chunked_response(body: bytes) -> bytes:
+    """Return a complete response with a body in chunks of one byte."""
+    head = encode_response(200, b"").replace(b"Content-Length: 0", b"Transfer-Encoding: chunked")
+    return head + in_chunks_of_one_byte(body) + LAST_CHUNK
--- a/tests/proxy/test_bodies_in_small_chunks.py
+++ b/tests/proxy/test_bodies_in_small_chunks.py
@@ -5,9 +5,10 @@
 import asyncio
 
 import pytest
-from parsing_cost import LAST_CHUNK, ParsingCost, chunked_request
+from parsing_cost import LAST_CHUNK, ParsingCost, chunked_request, chunked_response
 from proxy_harness import (
     TIMEOUT_S,
+    Headers,
     ProxyHarness,
     read_response,
     request,
@@ -64,6 +65,27 @@
     run_in_virtual_time(scenario())
 
 
+# Guards against requests that are never answered while servers respond in very small chunks.
+def test_servers_that_respond_in_small_chunks_delay_no_other_request(monkeypatch: pytest.MonkeyPatch) -> None:
+    def respond(request_line: str, _headers: Headers, _body: bytes) -> bytes:
+        return chunked_response(BODY) if request_line.startswith("POST") else respond_ok()
+
+    async def scenario() -> None:
+        limits = {"max_attempts": 1, "allow_hedging": False, "dial_timeout_us": 60_000_000}
+        async with running_proxy(respond, respond, limits=limits) as proxy:
+            ParsingCost(monkeypatch, EVENT_S)
+            async with asyncio.TaskGroup() as tasks:
+                address = proxy.sidecar.frontend.address
+                slow = [
+                    tasks.create_task(send_request(address, request("pay", X_Call_Id=f"{n}", budget="500")))
+                    for n in range(PEER_COUNT)
+                ]
+                await check_other_requests(proxy, duration_s=4.0)
+            assert [task.result()[::2] for task in slow] == [(200, BODY)] * PEER_COUNT
+
+    run_in_virtual_time(scenario())
+
+
 @pytest.mark.parametrize("piece_bytes", [1000, 1_000_000])
 def test_complete_request_in_small_chunks_is_served_unchanged(piece_bytes: int) -> None:
     async def scenario() -> None:
