Parse pipelined data once instead of again with each read

A client that has a request in flight and pipelines a long body in small pieces occupies the event loop, and others wait.

Cause: RequestReader.is_next_complete parsed all data behind the request in flight from its beginning, in one turn, on each read; the cost grows with the square of the data, up to 64 KiB.

Change: RequestLookahead keeps its parser, gets only the new data, and takes its turn in the parsing queue. Reading goes on meanwhile, because unread data would hide a close by the client; the buffer is bounded as before.

--- a/sidecar/proxy/__init__.py
+++ b/sidecar/proxy/__init__.py
@@ -4,7 +4,7 @@
 
 - Client connections: `frontend` accepts them with `listener`, `connection_table` limits their number and time
   with `connection_state` and `overload`, and `client_connection` serves one of them with `request_reader`,
-  `client_request` and `request_errors`.
+  `request_lookahead`, `client_request` and `request_errors`.
 - Requests: `request_lifecycle` answers them, `attempts` forwards them to servers, and `active_requests`
   tracks those in progress.
 - Servers: `connection_pool` runs each `exchange` (an attempt, or a check of `health_checks`) on a
--- a/sidecar/proxy/client_connection.py
+++ b/sidecar/proxy/client_connection.py
@@ -21,6 +21,7 @@
 from sidecar.proxy.event_loop import NEGLIGIBLE_WAIT_S, earliest_arrival
 from sidecar.proxy.http_messages import Headers, encode_message
 from sidecar.proxy.paced_reading import PacedReading
+from sidecar.proxy.parsing_queue import parsing_queue
 from sidecar.proxy.request_errors import (
     InternalError,
     MalformedRequestError,
@@ -30,6 +31,7 @@
     RequestIdInUseError,
     RequestTimeoutError,
 )
+from sidecar.proxy.request_lookahead import RequestLookahead
 from sidecar.proxy.request_reader import MAX_BODY_BYTES, ReceivedRequest, RequestReader
 from sidecar.proxy.sockets import SharedBufferProtocol, has_peer_closed, is_receive_queue_empty
 from sidecar.settings import Settings
@@ -99,6 +101,7 @@
         self._earliest_arrival = connected_after  # event loop time; the next data read arrived later
         self._was_queued_with_data = False  # the first data arrived before the setup
         self._reader = RequestReader(self._write)
+        self._lookahead: RequestLookahead | None = None  # None until data is pipelined
         self._transport: asyncio.Transport | None = None
         self._pacing: PacedReading | None = None
         self._request: ClientRequest | None = None  # the request in flight
@@ -120,6 +123,7 @@
         """Unregister the connection, and drop the request in flight."""
         if self._pacing is not None:
             self._pacing.stop()
+        parsing_queue().discard(self)
         self._owner.connection_closed(self)
         self._abandon_request()
 
@@ -140,7 +144,9 @@
         self._record_arrival()
         self._reader.receive(data)
         if self._request is not None:
-            self._look_ahead()
+            self._lookahead = self._lookahead or RequestLookahead()
+            self._lookahead.receive(self._reader.unread)
+            self._look_ahead(self._lookahead)
         elif not self._write_blocked:
             self._read()
         else:
@@ -158,6 +164,20 @@
         elif self._request is None:
             self._half_close()
 
+    def parse_deferred(self, max_events: int) -> bool:
+        """Continue to look ahead; called by the parsing queue.
+
+        Args:
+            max_events: How many events to parse at most.
+
+        Returns:
+            Whether other data can be parsed now.
+        """
+        if self._request is None or self._lookahead is None or self._discarded_bytes is not None:
+            return False
+        self._look_ahead(self._lookahead, max_events)
+        return self._lookahead.has_backlog
+
     # -- Responder ------------------------------------------------------------------------------------
 
     def respond(self, status: int, headers: Headers, body: bytes) -> None:
@@ -288,10 +308,17 @@
         else:
             self._half_close()  # the response was already sent, though maybe not fully written
 
-    def _look_ahead(self) -> None:
-        """Examine the data pipelined behind the request in flight."""
+    def _look_ahead(self, lookahead: RequestLookahead, max_events: int | None = None) -> None:
+        """Examine the data pipelined behind the request in flight.
+
+        Reading goes on meanwhile, because unread data would hide a later close by the client.
+
+        Args:
+            lookahead: Parses the data.
+            max_events: How many events to parse at most; None: as many as a request may take at once.
+        """
         try:
-            is_complete = self._reader.is_next_complete()
+            is_complete = lookahead.parse(max_events)
         except h11.RemoteProtocolError as error:
             log.info("client connection will close after its response: malformed pipelined data: %s", error)
             self._discarded_bytes = 0
@@ -299,6 +326,8 @@
             return
         state = ConnectionState.IN_FLIGHT if is_complete else ConnectionState.READING_PIPELINED
         self._owner.change_state(self, state)
+        if lookahead.has_backlog:
+            parsing_queue().add(self)
         self._limit_pipelined()
 
     def _limit_pipelined(self) -> None:
@@ -430,6 +459,7 @@
     def _keep_alive(self) -> None:
         """Keep the connection open after a response, and read the next request."""
         self._reader.start_next()
+        self._lookahead = None
         if self._write_blocked:
             self._owner.change_state(self, ConnectionState.DELIVERING)
             return
--- a/sidecar/proxy/request_reader.py
+++ b/sidecar/proxy/request_reader.py
@@ -120,19 +120,6 @@
         self._parser = _new_parser()
         self._parser.receive(unread)
 
-    def is_next_complete(self) -> bool:
-        """Return whether the pipelined data begins with a complete request.
-
-        Raises:
-            h11.RemoteProtocolError: The data is not a valid request.
-        """
-        lookahead = h11.Connection(h11.SERVER)
-        lookahead.receive_data(self.unread)
-        event = lookahead.next_event()
-        while isinstance(event, h11.Request | h11.Data):
-            event = lookahead.next_event()
-        return event is not h11.NEED_DATA
-
     def _complete(self) -> ReceivedRequest:
         assert self._head is not None  # h11 emits it first
         return ReceivedRequest(self._head, bytes(self._body))
--- a/tests/proxy/test_bodies_in_small_chunks.py
+++ b/tests/proxy/test_bodies_in_small_chunks.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from functools import partial
 
 import pytest
 from parsing_cost import LAST_CHUNK, ParsingCost, chunked_request, chunked_response
@@ -10,6 +11,7 @@
     TIMEOUT_S,
     Headers,
     ProxyHarness,
+    never_respond,
     read_response,
     request,
     respond_ok,
@@ -20,6 +22,8 @@
 )
 from virtual_time import advance, now_s, run_in_virtual_time
 
+from sidecar.proxy.client_connection import ClientConnection
+
 EVENT_S = 70e-6  # ten times what an event takes, for a tenth of the chunks
 BODY = bytes(range(256)) * 24  # its chunks take 0.43 s
 PEER_COUNT = 12
@@ -86,6 +90,11 @@
     run_in_virtual_time(scenario())
 
 
+def has_read(connection: ClientConnection, byte_count: int) -> bool:
+    """Return whether this number of bytes has been read behind the request in flight."""
+    return len(connection._reader.unread) == byte_count
+
+
 @pytest.mark.parametrize("piece_bytes", [1000, 1_000_000])
 def test_complete_request_in_small_chunks_is_served_unchanged(piece_bytes: int) -> None:
     async def scenario() -> None:
@@ -153,3 +162,28 @@
             assert cost.events < len(BODY)
 
     run_scenario(scenario())
+
+
+# Guards against parsing all that a client has pipelined again with each further piece.
+def test_pipelined_data_in_pieces_is_parsed_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def scenario() -> None:
+        async with running_proxy(never_respond) as proxy:
+            reader, writer = await proxy.connect()
+            writer.write(request("pay", body=b"held", budget="500", X_Call_Id="held"))
+            await wait_until(proxy.server_requests)
+            cost = ParsingCost(monkeypatch)
+            data = chunked_request(BODY) + LAST_CHUNK
+            (connection,) = proxy.sidecar.frontend.connections
+            for start in range(0, len(data), 500):
+                writer.write(data[start : start + 500])
+                await wait_until(partial(has_read, connection, min(start + 500, len(data))))
+            # Each chunk is one event; each piece may end before an event is complete.
+            assert cost.events <= len(BODY) + 2 * len(data) / 500 + 10
+            proxy.servers[0].script = respond_ok
+            proxy.servers[0].writers[0].write(respond_ok())
+            assert (await read_response(reader))[0] == 200
+            assert (await read_response(reader))[0] == 200
+            assert proxy.server_requests()[1][2] == BODY
+            writer.close()
+
+    run_in_virtual_time(scenario())
