Reject messages with more than 256 header lines before they are parsed

A client, or a server, that sends 64 KiB of very short header lines occupies the event loop with one parser event.

Cause: h11 parses a whole head or trailer section at once, and limits it (16 KiB) only while it is incomplete.

Change: the lines that h11 holds back are counted after each piece of 4 KiB. More than 256 lines or headers give 400, or a malformed response. A section may hold 64 KiB however it arrives: before that was so in one read only, and from on not at all.

--- a/sidecar/proxy/request_lookahead.py
+++ b/sidecar/proxy/request_lookahead.py
@@ -17,7 +17,7 @@
     def __init__(self) -> None:
         """Create a lookahead that has seen no data."""
         self.has_backlog = False
-        self._parser = IncrementalParser(h11.Connection(h11.SERVER))
+        self._parser = IncrementalParser(h11.SERVER)
         self._received_bytes = 0
         self._is_complete = False
 
--- a/sidecar/proxy/request_reader.py
+++ b/sidecar/proxy/request_reader.py
@@ -143,4 +143,4 @@
 
 def _new_parser() -> IncrementalParser:
     """Return a parser for one request."""
-    return IncrementalParser(h11.Connection(h11.SERVER))
+    return IncrementalParser(h11.SERVER)
--- a/sidecar/proxy/response_reader.py
+++ b/sidecar/proxy/response_reader.py
@@ -69,10 +69,10 @@
     def __init__(self, max_body_bytes: int) -> None:
         self.has_backlog = False
         self._max_body_bytes = max_body_bytes
-        self._connection = h11.Connection(h11.CLIENT)
+        self._parser = IncrementalParser(h11.CLIENT)
+        self._connection = self._parser.connection
         for event in _PARSER_REQUEST:
             self._connection.send(event)
-        self._parser = IncrementalParser(self._connection)
         self._informational_responses = 0
         self._head: h11.Response | None = None
         self._body = bytearray()
