--- a/sidecar/proxy/__init__.py
+++ b/sidecar/proxy/__init__.py
@@ -3,8 +3,9 @@
 `driver` connects its parts:
 
 - Client connections: `frontend` accepts them with `listener`, `connection_table` limits their number and time
-  with `connection_state` and `overload`, and `client_connection` serves one of them with `request_reader`,
-  `request_lookahead`, `client_request` and `request_errors`.
+  with `connection_state` and `overload`, and `client_connection` serves one of them (`connection_owner` is
+  what it needs of the frontend).  `request_reader`, `request_lookahead` and `arrival_time` read its requests;
+  `request_routing`, `client_request` and `request_errors` check them.
 - Requests: `request_lifecycle` answers them, `attempts` forwards them to servers, and `active_requests`
   tracks those in progress.
 - Servers: `connection_pool` runs each `exchange` (an attempt, or a check of `health_checks`) on a
--- a/sidecar/proxy/client_connection.py
+++ b/sidecar/proxy/client_connection.py
@@ -6,74 +6,33 @@
 import logging
 import socket
 from http import HTTPStatus
-from typing import Protocol
 
 import h11
 
-from sidecar.proxy.client_request import (
-    API_PATH,
-    ClientRequest,
-    RequestHandler,
-    parse_request,
-    retry_after_header,
-)
+from sidecar.proxy.arrival_time import ArrivalTime
+from sidecar.proxy.client_request import ClientRequest
+from sidecar.proxy.connection_owner import ConnectionOwner
 from sidecar.proxy.connection_state import ConnectionState
-from sidecar.proxy.event_loop import NEGLIGIBLE_WAIT_S, earliest_arrival
-from sidecar.proxy.http_messages import Headers, encode_message
+from sidecar.proxy.http_messages import Headers, encode_response
 from sidecar.proxy.paced_reading import PacedReading
 from sidecar.proxy.parsing_queue import parsing_queue
 from sidecar.proxy.request_errors import (
     InternalError,
     MalformedRequestError,
     ParsingTimeoutError,
-    PathNotFoundError,
     RequestError,
-    RequestIdInUseError,
     RequestTimeoutError,
 )
 from sidecar.proxy.request_lookahead import RequestLookahead
 from sidecar.proxy.request_reader import MAX_BODY_BYTES, ReceivedRequest, RequestReader
+from sidecar.proxy.request_routing import ImmediateResponse, route_request
 from sidecar.proxy.sockets import SharedBufferProtocol, has_peer_closed, is_receive_queue_empty
-from sidecar.settings import Settings
 
 log = logging.getLogger(__name__)
 
-_READINESS_PATH = b"/health/ready"
 # Limit of the data that is read and discarded after a rejected request, or when a client pipelines too much.
 # If it stayed unread, closing the connection would reset it, and the client might lose the response.
 _MAX_DISCARDED_BYTES = 128 * MAX_BODY_BYTES
-_REASON_PHRASES: dict[int, bytes] = {
-    status: status.phrase.encode()
-    for status in (
-        HTTPStatus.OK,
-        HTTPStatus.BAD_REQUEST,
-        HTTPStatus.NOT_FOUND,
-        HTTPStatus.METHOD_NOT_ALLOWED,
-    )
-}
-
-
-class ConnectionOwner(Protocol):
-    """The interface of the frontend that a connection uses.
-
-    Attributes:
-        handler: Handles the requests.
-        settings: The settings for requests that are read from now on.
-        draining: Whether each connection is closed after its current response.
-    """
-
-    handler: RequestHandler
-    settings: Settings
-    draining: bool
-
-    def connection_opened(self, connection: ClientConnection, sock: socket.socket) -> None:
-        """Register a connection that has been set up on an accepted socket."""
-
-    def connection_closed(self, connection: ClientConnection) -> None:
-        """Unregister a connection that has been closed."""
-
-    def change_state(self, connection: ClientConnection, state: ConnectionState) -> None:
-        """Change the state of a connection."""
 
 
 class ClientConnection(SharedBufferProtocol):
@@ -98,8 +57,7 @@
         self._owner = owner
         self._sock = sock
         self._shed_load = shed_load
-        self._earliest_arrival = connected_after  # event loop time; the next data read arrived later
-        self._was_queued_with_data = False  # the first data arrived before the setup
+        self._arrival = ArrivalTime(connected_after)
         self._reader = RequestReader(self._write)
         self._lookahead: RequestLookahead | None = None  # None until data is pipelined
         self._transport: asyncio.Transport | None = None
@@ -114,8 +72,8 @@
         """Register the connection once its transport is ready."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
-        self._pacing = PacedReading(transport, self._sock, self._has_backlog, self._read_deferred)
-        self._was_queued_with_data = self.has_unread_data()
+        self._pacing = PacedReading(transport, self._has_backlog, self._read_deferred)
+        self._arrival.set_next_waited(has_waited=self.has_unread_data())
         transport.set_write_buffer_limits(high=0)
         self._owner.connection_opened(self, self._sock)
 
@@ -180,10 +138,6 @@
 
     # -- Responder ------------------------------------------------------------------------------------
 
-    def respond(self, status: int, headers: Headers, body: bytes) -> None:
-        """Write a complete response, and keep the connection open where possible."""
-        self._respond(status, headers, body)
-
     def is_disconnected(self) -> bool:
         """Return whether the connection is closed, even if a close by the client has not been read yet."""
         return self._transport is None or self._transport.is_closing() or has_peer_closed(self._sock)
@@ -198,6 +152,10 @@
         """Return whether part of a request without a response has been read."""
         return self._reader.has_partial_request()
 
+    def is_parsing_deferred(self) -> bool:
+        """Return whether a request has been read, perhaps completely, that waits to be parsed."""
+        return self._pacing is not None and self._pacing.is_paused
+
     def can_close_safely(self) -> bool:
         """Return whether a close would not truncate a response.
 
@@ -233,38 +191,17 @@
             self._fail_in_flight()
         elif self.is_idle():
             self.close()
-        elif self._is_reading_paused():
+        elif self.is_parsing_deferred():
             self._reject(ParsingTimeoutError())
         elif self.state is not ConnectionState.IDLE and not self.has_unread_data():
             self._reject(RequestTimeoutError())
 
     # -- Reading --------------------------------------------------------------------------------------
 
-    def _is_reading_paused(self) -> bool:
-        return self._pacing is not None and self._pacing.is_paused
-
     def _record_arrival(self) -> None:
-        """Record the earliest time at which the data can have arrived.
-
-        For pipelined data that arrives in parts, this is the time of its first byte.  Data that arrived while
-        reading was paused counts as arrived before the pause.
-        """
-        if self._pacing is not None and self._pacing.has_next_data_waited:
-            self._pacing.has_next_data_waited = False
-            return
-        if (self._request is not None or self._write_blocked) and self._reader.unread:
-            return
-        if not self._was_queued_with_data:
-            self._earliest_arrival = earliest_arrival()
-        self._was_queued_with_data = False
-
-    def _waited_us(self) -> int:
-        """Return how long the request may have waited to be read, in microseconds; 0 if negligible.
-
-        The client's time budget was running during that wait.
-        """
-        waited_s = asyncio.get_running_loop().time() - self._earliest_arrival
-        return int(waited_s * 1e6) if waited_s > NEGLIGIBLE_WAIT_S else 0
+        """Record the arrival of data; that of pipelined data in parts is the arrival of its first byte."""
+        if (self._request is None and not self._write_blocked) or not self._reader.unread:
+            self._arrival.record()
 
     def _read(self, max_events: int | None = None) -> None:
         """Read at most one request, and handle it once it is complete.
@@ -298,8 +235,12 @@
         return self._discarded_bytes is None and self._reader.has_backlog
 
     def _update_pacing(self) -> None:
-        if self._pacing is not None:
-            self._pacing.update()
+        if self._pacing is None:
+            return
+        was_paused = self._pacing.is_paused
+        self._pacing.update()
+        if was_paused and not self._pacing.is_paused:  # unread data arrived during the pause
+            self._arrival.set_next_waited(has_waited=self.has_unread_data())
 
     def _fail_unhandled(self) -> None:
         """Reject the request whose handling raised an unexpected error; half-close if it was answered."""
@@ -367,50 +308,23 @@
     def _handle_request(self, received: ReceivedRequest) -> None:
         """Answer a request directly or dispatch it to the handler."""
         self._owner.change_state(self, ConnectionState.IN_FLIGHT)
-        path = received.path
-        if path == _READINESS_PATH:
-            self._respond_readiness()
-        elif path != API_PATH and not path.startswith(API_PATH + b"/"):
-            raise PathNotFoundError
-        elif self._shed_load:
-            self._shed(received)
+        handler, settings = self._owner.handler, self._owner.settings
+        routed = route_request(received, handler, settings, self, shed_load=self._shed_load)
+        if isinstance(routed, ImmediateResponse):
+            self.respond(routed.status, routed.headers, b"", close=routed.close)
         else:
-            request = parse_request(received.head, received.body, self._owner.settings, self)
-            self._check_request_id(request.request_id)
-            self._dispatch(request)
-
-    def _respond_readiness(self) -> None:
-        is_ready = self._owner.handler.is_ready()
-        self._respond(HTTPStatus.OK if is_ready else HTTPStatus.SERVICE_UNAVAILABLE, [], b"")
-
-    def _shed(self, received: ReceivedRequest) -> None:
-        """Reject a request because of overload, unless one with the same id may be running."""
-        self._check_request_id(received.request_id)
-        limits = self._owner.settings.limits
-        wait_us = limits.max_retry_after_us if limits.retry_after else 0
-        self._respond(HTTPStatus.SERVICE_UNAVAILABLE, retry_after_header(wait_us), b"", close=True)
+            self._dispatch(routed)
 
     def _dispatch(self, request: ClientRequest) -> None:
         """Pass a request to the handler, or reject it if its budget expired before it was read."""
-        waited_us = self._waited_us()
+        waited_us = self._arrival.waited_us()
         if waited_us and request.budget_us <= waited_us:
-            self._respond(HTTPStatus.SERVICE_UNAVAILABLE, [], b"")
+            self.respond(HTTPStatus.SERVICE_UNAVAILABLE, [], b"")
             return
         request.budget_us -= waited_us
         self._request = request
         self._owner.handler.handle_request(request)
 
-    def _check_request_id(self, request_id: str) -> None:
-        """Check that no request with the same id may be running.
-
-        Otherwise neither forwarding the request nor a 503 response, which invites a retry, is safe.
-
-        Raises:
-            RequestIdInUseError: A request with this id is in progress, or may have been executed recently.
-        """
-        if self._owner.handler.is_request_id_in_use(request_id):
-            raise RequestIdInUseError
-
     def _abandon_request(self) -> None:
         """Let the handler drop the request in flight, if any, as if its client had disconnected."""
         request, self._request = self._request, None
@@ -424,27 +338,25 @@
         log.info("request rejected: %s", error)
         self._abandon_request()
         headers = [(b"Content-Type", b"text/plain")]
-        self._respond(error.status, headers, f"{error}\n".encode(), close=True)
+        self.respond(error.status, headers, f"{error}\n".encode(), close=True)
 
     def _fail_in_flight(self) -> None:
         """Fail the request in flight and close the connection because of invalid data pipelined behind it."""
         log.info("closing client connection: invalid or incomplete data pipelined behind a request in flight")
         self._abandon_request()
-        self._respond(HTTPStatus.INTERNAL_SERVER_ERROR, [], b"", close=True)
+        self.respond(HTTPStatus.INTERNAL_SERVER_ERROR, [], b"", close=True)
 
-    def _respond(self, status: int, headers: Headers, body: bytes, *, close: bool = False) -> None:
+    def respond(self, status: int, headers: Headers, body: bytes, *, close: bool = False) -> None:
+        """Write a complete response; keep the connection open where possible, unless `close` is set."""
         self._request = None
         if self._transport is None or self._transport.is_closing():
             return
         close = close or self._must_close()
-        headers = [*headers, (b"Content-Length", str(len(body)).encode())]
-        if close:
-            headers.append((b"Connection", b"close"))
-        if self._reader.is_head_request:
-            body = b""
-        status_line = b"HTTP/1.1 %d %b" % (status, _REASON_PHRASES.get(status, b""))
+        response = encode_response(
+            status, headers, body, close=close, with_body=not self._reader.is_head_request
+        )
         self._reader.discard_request()
-        self._transport.write(encode_message(status_line, headers, body))
+        self._transport.write(response)
         if close:
             self._half_close()
         else:
--- a/sidecar/proxy/http_messages.py
+++ b/sidecar/proxy/http_messages.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass
+from http import HTTPStatus
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -13,6 +14,15 @@
 _REJECTION_HEADER = b"x-rejected"
 _REJECTION_VALUES = [b"1"]
 _REJECTION_STATUSES = (503, 504)
+_REASON_PHRASES: dict[int, bytes] = {
+    status: status.phrase.encode()
+    for status in (
+        HTTPStatus.OK,
+        HTTPStatus.BAD_REQUEST,
+        HTTPStatus.NOT_FOUND,
+        HTTPStatus.METHOD_NOT_ALLOWED,
+    )
+}
 
 
 def forwardable_headers(headers: Iterable[tuple[bytes, bytes]], *dropped: bytes) -> Headers:
@@ -48,6 +58,28 @@
     return b"\r\n".join([start_line, *[b"%b: %b" % header for header in headers], b"", body])
 
 
+def encode_response(
+    status: int, headers: Headers, body: bytes, *, close: bool, with_body: bool = True
+) -> bytes:
+    """Encode a response to a client.
+
+    Args:
+        status: Status code.
+        headers: Names and values; those that frame the body are added.
+        body: The body.
+        close: Whether the connection is closed after the response.
+        with_body: Whether the body is sent; it is not in the response to a HEAD request.
+
+    Returns:
+        The bytes to send.
+    """
+    headers = [*headers, (b"Content-Length", str(len(body)).encode())]
+    if close:
+        headers.append((b"Connection", b"close"))
+    status_line = b"HTTP/1.1 %d %b" % (status, _REASON_PHRASES.get(status, b""))
+    return encode_message(status_line, headers, body if with_body else b"")
+
+
 @dataclass(slots=True)
 class Response:
     """A complete response of a server.
--- a/sidecar/proxy/paced_reading.py
+++ b/sidecar/proxy/paced_reading.py
@@ -3,11 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 from collections.abc import Callable
 
 from sidecar.proxy.parsing_queue import parsing_queue
-from sidecar.proxy.sockets import is_receive_queue_empty
 
 
 class PacedReading:
@@ -15,14 +13,11 @@
 
     Attributes:
         is_paused: Whether reading is paused.
-        has_next_data_waited: Whether the data that is read next had arrived when a pause ended; its reader
-            resets this.
     """
 
     def __init__(
         self,
         transport: asyncio.Transport,
-        sock: socket.socket,
         has_backlog: Callable[[], bool],
         parse: Callable[[int], None],
     ) -> None:
@@ -30,14 +25,11 @@
 
         Args:
             transport: The transport of the connection.
-            sock: The socket of the connection.
             has_backlog: Returns whether received data can be parsed now.
             parse: Parses at most the given number of events; `update` has to be called afterwards.
         """
         self.is_paused = False
-        self.has_next_data_waited = False
         self._transport = transport
-        self._sock = sock
         self._has_backlog = has_backlog
         self._parse = parse
 
@@ -49,7 +41,6 @@
             parsing_queue().add(self)
         elif self.is_paused:
             self.is_paused = False
-            self.has_next_data_waited = not is_receive_queue_empty(self._sock)
             self._transport.resume_reading()
 
     def parse_deferred(self, max_events: int) -> bool:
--- a/sidecar/proxy/server_connection.py
+++ b/sidecar/proxy/server_connection.py
@@ -125,7 +125,7 @@
         """Store the transport, and make it report whenever its write buffer is empty."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
-        self._pacing = PacedReading(transport, self.sock, self._has_backlog, self._parse)
+        self._pacing = PacedReading(transport, self._has_backlog, self._parse)
         transport.set_write_buffer_limits(high=0)
 
     def resume_writing(self) -> None:
