Answer a request that waits to be parsed before its connection makes room for another

Where clients fill the connection table, one whose request was received and waited for its turn could be closed with no answer, complete or not; one with more data in the kernel could not be closed for 2 s, so that new connections waited.

Cause: ConnectionTable took a connection in the state READING without unread data for one without a complete request. That holds only if all that was read is parsed.

Evidence: with twelve clients at a capacity of eight, test_clients_that_send_small_chunks_do_not_use_up_the_capacity failed without the change: clients got a close with no answer.

Change: such a connection is not evicted. Where no other can be, the request that has waited longest is answered 408, and its connection is closed once that is delivered.

Result: the test passes.

--- a/sidecar/proxy/connection_table.py
+++ b/sidecar/proxy/connection_table.py
@@ -128,11 +128,12 @@
 
         Connections whose last response has been written are evicted first, then those that have not sent a
         complete request, then the longest idle.  New connections are evicted last, as their requests may be
-        in transit.
+        in transit.  If there is none, a request that takes long to parse is rejected, and its connection is
+        aborted by a later call.
         """
         chosen = self._choose_eviction()
         if chosen is None:
-            return False
+            return self._reject_deferred()
         self.remove(chosen)
         chosen.abort()
         return True
@@ -147,16 +148,26 @@
             or self._find_without_unread_data(ConnectionState.READING)
         )
 
+    def _reject_deferred(self) -> bool:
+        """Reject the request that has waited for longest to be parsed; return whether there was one."""
+        reading = self._by_state[ConnectionState.READING]
+        chosen = next((connection for connection in reading if connection.is_parsing_deferred()), None)
+        if chosen is None:
+            return False
+        chosen.on_state_timeout()
+        return True
+
     def _find_without_unread_data(
         self, state: ConnectionState, entered_before: float = math.inf
     ) -> ClientConnection | None:
         """Return the connection that has been in a state for longest, or None if none qualifies.
 
-        Only the few longest are examined, and only those without unread data that entered the state before
-        the given event loop time qualify.
+        Only the few longest are examined, and only those that entered the state before the given event loop
+        time qualify, without unread data and without a request that waits to be parsed.
         """
         for connection, since in islice(self._by_state[state].items(), _MAX_EVICTION_CANDIDATES):
-            if since < entered_before and not connection.has_unread_data():
+            has_data = connection.is_parsing_deferred() or connection.has_unread_data()
+            if since < entered_before and not has_data:
                 return connection
         return None
 
--- a/tests/proxy/test_bodies_in_small_chunks.py
+++ b/tests/proxy/test_bodies_in_small_chunks.py
@@ -43,32 +43,48 @@
         await advance(0.05)
 
 
+async def send_and_stop(proxy: ProxyHarness) -> None:
+    """Send a request without its end, and check that an error comes in time."""
+    reader, writer = await proxy.connect()
+    started_at = now_s()
+    writer.write(chunked_request(BODY))
+    raw_response = await asyncio.wait_for(reader.read(), TIMEOUT_S)
+    assert raw_response.startswith(b"HTTP/1.1 408 ")
+    assert raw_response.endswith(b"too many small chunks\n")
+    assert now_s() < started_at + BAD_CLIENT_TIMEOUT_S
+    writer.close()
+
+
 # Guards against requests that are never answered while bad clients send very small chunks (review/1).
 def test_clients_that_send_small_chunks_and_stop_delay_no_other_request(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    async def bad_client(proxy: ProxyHarness) -> None:
-        reader, writer = await proxy.connect()
-        started_at = now_s()
-        writer.write(chunked_request(BODY))
-        raw_response = await asyncio.wait_for(reader.read(), TIMEOUT_S)
-        assert raw_response.startswith(b"HTTP/1.1 408 ")
-        assert raw_response.endswith(b"too many small chunks\n")
-        assert now_s() < started_at + BAD_CLIENT_TIMEOUT_S
-        writer.close()
-
     async def scenario() -> None:
         async with running_proxy(respond_ok) as proxy:
             ParsingCost(monkeypatch, EVENT_S)
             async with asyncio.TaskGroup() as tasks:
                 for _ in range(PEER_COUNT):
-                    tasks.create_task(bad_client(proxy))
+                    tasks.create_task(send_and_stop(proxy))
                 await check_other_requests(proxy, duration_s=4.0)
             assert all(body == b"" for _, _, body in proxy.server_requests())
 
     run_in_virtual_time(scenario())
 
 
+# Guards against new connections that wait for capacity until the time limit of such clients has passed.
+def test_clients_that_send_small_chunks_do_not_use_up_the_capacity(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def scenario() -> None:
+        async with running_proxy(respond_ok, sockets=80) as proxy:
+            assert proxy.sidecar.frontend.table.capacity < PEER_COUNT
+            ParsingCost(monkeypatch, EVENT_S)
+            async with asyncio.TaskGroup() as tasks:
+                for _ in range(PEER_COUNT):
+                    tasks.create_task(send_and_stop(proxy))
+                await check_other_requests(proxy, duration_s=4.0)
+
+    run_in_virtual_time(scenario())
+
+
 # Guards against requests that are never answered while servers respond in very small chunks.
 def test_servers_that_respond_in_small_chunks_delay_no_other_request(monkeypatch: pytest.MonkeyPatch) -> None:
     def respond(request_line: str, _headers: Headers, _body: bytes) -> bytes:
