Stop parsing a response as soon as its connection is aborted

Its connection left the queue when it was lost, one iteration of the event loop after the abort, so that a response could still be parsed and reported for a request that had been given up. The pool ignores such a response today; nothing in ServerConnection says so.

Change: abort ends the pacing.

Result: test_rest_of_a_response_is_not_parsed_after_its_connection_is_aborted failed without the change and passes.

--- a/sidecar/proxy/server_connection.py
+++ b/sidecar/proxy/server_connection.py
@@ -104,8 +104,10 @@
         self._transmission.start(data)
 
     def abort(self) -> None:
-        """Close at once; what has not been written yet never will be."""
+        """Close at once; what has not been written or parsed yet never will be."""
         self.is_reusable = False
+        if self._pacing is not None:
+            self._pacing.stop()
         if self._transport is not None:
             self._transport.abort()
 
--- a/tests/proxy/test_bodies_in_small_chunks.py
+++ b/tests/proxy/test_bodies_in_small_chunks.py
@@ -9,6 +9,7 @@
 from parsing_cost import LAST_CHUNK, ParsingCost, chunked_request, chunked_response
 from proxy_harness import (
     TIMEOUT_S,
+    FakeServer,
     Headers,
     ProxyHarness,
     never_respond,
@@ -23,6 +24,9 @@
 from virtual_time import advance, now_s, run_in_virtual_time
 
 from sidecar.proxy.client_connection import ClientConnection
+from sidecar.proxy.http_messages import Response
+from sidecar.proxy.parsing_queue import parsing_queue
+from sidecar.proxy.server_connection import connect
 
 EVENT_S = 70e-6  # ten times what an event takes, for a tenth of the chunks
 BODY = bytes(range(256)) * 24  # its chunks take 0.43 s
@@ -203,3 +207,21 @@
             writer.close()
 
     run_in_virtual_time(scenario())
+
+
+# Guards against the response to a request that has been given up.
+def test_rest_of_a_response_is_not_parsed_after_its_connection_is_aborted() -> None:
+    async def scenario() -> None:
+        server = FakeServer("s", lambda *_: chunked_response(BODY))
+        await server.start()
+        connection = await connect(server.address, len(BODY))
+        responses: list[Response | None] = []
+        connection.request(request(), responses.append)
+        await wait_until(lambda: len(parsing_queue()))
+        connection.abort()
+        assert not len(parsing_queue())
+        await wait_until(lambda: responses)
+        assert responses == [None]
+        server.stop()
+
+    run_scenario(scenario())
