Decide in one place how many events a message may take at once

Three readers chose between their caller's limit and the parser's. Behaviour is unchanged; the tests of small chunks, header limits, the lookahead and responses without a length pass.

--- a/sidecar/proxy/incremental_parser.py
+++ b/sidecar/proxy/incremental_parser.py
@@ -47,10 +47,11 @@
         data, _ = self.connection.trailing_data
         return data + self._pending
 
-    @property
-    def immediate_events(self) -> int:
-        """How many more events of the message may be parsed without waiting for the parsing queue."""
-        return max(_IMMEDIATE_EVENTS - self._event_count, 0)
+    def event_limit(self, max_events: int | None) -> int:
+        """Return `max_events`; if it is None, how many more events may be parsed without a turn in the queue."""
+        if max_events is None:
+            return max(_IMMEDIATE_EVENTS - self._event_count, 0)
+        return max_events
 
     def receive(self, data: bytes) -> None:
         """Add received data."""
--- a/sidecar/proxy/request_lookahead.py
+++ b/sidecar/proxy/request_lookahead.py
@@ -42,7 +42,7 @@
         self.has_backlog = False
         if self._parser is None:
             return True
-        for _ in range(self._parser.immediate_events if max_events is None else max_events):
+        for _ in range(self._parser.event_limit(max_events)):
             event = self._parser.next_event()
             if not isinstance(event, h11.Request | h11.Data):
                 if event is h11.NEED_DATA:
--- a/sidecar/proxy/request_reader.py
+++ b/sidecar/proxy/request_reader.py
@@ -99,7 +99,7 @@
             h11.RemoteProtocolError: The data is not a valid request.
         """
         self.has_backlog = False
-        for _ in range(self._parser.immediate_events if max_events is None else max_events):
+        for _ in range(self._parser.event_limit(max_events)):
             event = self._parser.next_event()
             if isinstance(event, h11.Request):
                 self._begin(event)
--- a/sidecar/proxy/response_reader.py
+++ b/sidecar/proxy/response_reader.py
@@ -98,7 +98,7 @@
             MalformedResponseError: It is not a response, or exceeds a limit.
         """
         try:
-            return self._parse(self._parser.immediate_events if max_events is None else max_events)
+            return self._parse(self._parser.event_limit(max_events))
         except h11.RemoteProtocolError as error:
             raise MalformedResponseError(str(error)) from error
 
