--- a/sidecar/proxy/incremental_parser.py
+++ b/sidecar/proxy/incremental_parser.py
@@ -1,7 +1,7 @@
 """Parses HTTP/1.1 messages in steps of bounded cost.
 
-The cost of parsing depends on the number of chunks and header lines rather than on the number of bytes: one
-read of 64 KiB may hold 11,000 chunks, which take 75 ms of CPU time.
+The cost of parsing depends on the number of chunks and header lines rather than on the number of bytes, and
+one read of 64 KiB may hold 11,000 chunks.
 """
 
 from __future__ import annotations
@@ -48,7 +48,7 @@
         return data + self._pending
 
     def event_limit(self, max_events: int | None) -> int:
-        """Return `max_events`; if it is None, how many more events may be parsed without a turn in the queue."""
+        """Return `max_events`; if that is None, how many more events may be parsed without a turn."""
         if max_events is None:
             return max(_IMMEDIATE_EVENTS - self._event_count, 0)
         return max_events
