Give a response the time that it waits to be parsed

A response may take as long as a dial from its first byte on. One in many small chunks, received at once, was failed where its turns in the parsing queue took longer.

Cause: the response timer of ServerConnection does not tell a server that stops from a response that waits here.

Change: if the timer ends while the response waits to be parsed, it starts again. The limit on the body and the deadline of the attempt still end a response that never ends.

--- a/sidecar/proxy/server_connection.py
+++ b/sidecar/proxy/server_connection.py
@@ -218,9 +218,15 @@
         if self._response_reader is None or not self._response_reader.has_begun():
             return
         loop = asyncio.get_running_loop()
-        self._response_timer = loop.call_later(
-            self._response_timeout_s, self._reject_response, "incomplete after the response timeout"
-        )
+        self._response_timer = loop.call_later(self._response_timeout_s, self._on_response_timeout)
+
+    def _on_response_timeout(self) -> None:
+        """Reject the response, unless it is this side that delays it: then the server gets as long again."""
+        self._response_timer = None
+        if self._pacing is not None and self._pacing.is_paused:
+            self._start_response_timer()
+        else:
+            self._reject_response("incomplete after the response timeout")
 
     def _cancel_response_timer(self) -> None:
         if self._response_timer is not None:
--- a/tests/proxy/test_bodies_in_small_chunks.py
+++ b/tests/proxy/test_bodies_in_small_chunks.py
@@ -89,6 +89,20 @@
     run_in_virtual_time(scenario())
 
 
+# Guards against taking a response for incomplete because it waits to be parsed.
+def test_response_in_small_chunks_is_served_if_parsing_takes_longer_than_a_dial_may(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def scenario() -> None:
+        limits = {"max_attempts": 1, "allow_hedging": False, "dial_timeout_us": 120_000}
+        async with running_proxy(lambda *_: chunked_response(BODY), limits=limits) as proxy:
+            ParsingCost(monkeypatch, EVENT_S)
+            status, _, body = await proxy.send_request(kind="pay", budget="500")
+            assert (status, body) == (200, BODY)
+
+    run_in_virtual_time(scenario())
+
+
 # Guards against requests that are never answered while servers respond in very small chunks.
 def test_servers_that_respond_in_small_chunks_delay_no_other_request(monkeypatch: pytest.MonkeyPatch) -> None:
     def respond(request_line: str, _headers: Headers, _body: bytes) -> bytes:
