--- a/scale/callgraph/graph.py
+++ b/scale/callgraph/graph.py
@@ -78,11 +78,6 @@
         for service in self.services:
             service.notify_callers(RegistryUpdateKind.SNAPSHOT)
 
-    @property
-    def deepest(self) -> Service:
-        """The service that calls no other."""
-        return self.services[-1]
-
     def service_at(self, depth: int) -> Service:
         """Return the service at a depth; 0 means the deepest service."""
         return self.services[depth - 1]
--- a/scale/control/stub_process.py
+++ b/scale/control/stub_process.py
@@ -26,11 +26,10 @@
 from scale.control.stub_sidecar import StubSidecar, sidecar_settings
 from scale.histogram import LatencyHistogram
 from scale.standins.registry_commands import CommittedChange
+from sidecar.__main__ import GC_THRESHOLDS
 from sidecar.proxy.addresses import Address, parse_address
 from sidecar.settings.wire_names import settings_from_wire
 
-_GC_THRESHOLDS = (700, 5, 2)  # the same as in `sidecar.__main__`
-
 
 class StubCommandHandler:
     """Handles the commands to the sidecars of one process."""
@@ -102,7 +101,7 @@
     logging.basicConfig(level=logging.ERROR)
     handler = StubCommandHandler(count, zone, seed, parse_address(discovery))
     gc.freeze()
-    gc.set_threshold(*_GC_THRESHOLDS)
+    gc.set_threshold(*GC_THRESHOLDS)
     asyncio.run(serve_commands(handler.handle, []))
 
 
