Deduct the wait at a pause only from the data that is read next

After pipelined requests, one of which had waited to be parsed, a request that came seconds later on the same connection was answered 503: the time in between was deducted from its budget.

Cause: ArrivalTime kept the mark 'the next data has waited' until it recorded an arrival, and ClientConnection recorded none for data that continues a pipelined request.

Change: every read is recorded, and says whether it continues a pipelined request.

Result: test_request_long_after_pipelined_ones_has_its_whole_budget got 503 without the change and passes with it; test_bodies_in_small_chunks.py and test_request_wait.py pass.

--- a/sidecar/proxy/arrival_time.py
+++ b/sidecar/proxy/arrival_time.py
@@ -26,9 +26,13 @@
         """Set whether the data that is read next has waited since the earliest time known so far."""
         self._has_next_waited = has_waited
 
-    def record(self) -> None:
-        """Record that data has been read in this iteration of the event loop."""
-        if not self._has_next_waited:
+    def record(self, *, continues_pipelined: bool) -> None:
+        """Record that data has been read in this iteration of the event loop.
+
+        Args:
+            continues_pipelined: Whether it follows earlier data behind a request in flight, which counts.
+        """
+        if not self._has_next_waited and not continues_pipelined:
             self._earliest = earliest_arrival()
         self._has_next_waited = False
 
--- a/sidecar/proxy/client_connection.py
+++ b/sidecar/proxy/client_connection.py
@@ -99,7 +99,8 @@
             # would delay the requests of other clients until those clients give up as well.
             self.abort()
             return
-        self._record_arrival()
+        is_pipelined = self._request is not None or self._write_blocked
+        self._arrival.record(continues_pipelined=is_pipelined and bool(self._reader.unread))
         self._reader.receive(data)
         if self._request is not None:
             self._lookahead = self._lookahead or RequestLookahead()
@@ -198,11 +199,6 @@
 
     # -- Reading --------------------------------------------------------------------------------------
 
-    def _record_arrival(self) -> None:
-        """Record the arrival of data; that of pipelined data in parts is the arrival of its first byte."""
-        if (self._request is None and not self._write_blocked) or not self._reader.unread:
-            self._arrival.record()
-
     def _read(self, max_events: int | None = None) -> None:
         """Read at most one request, and handle it once it is complete.
 
--- a/tests/proxy/test_bodies_in_small_chunks.py
+++ b/tests/proxy/test_bodies_in_small_chunks.py
@@ -23,6 +23,7 @@
 )
 from virtual_time import advance, now_s, run_in_virtual_time
 
+from sidecar.proxy import sockets
 from sidecar.proxy.client_connection import ClientConnection
 from sidecar.proxy.http_messages import Response
 from sidecar.proxy.parsing_queue import parsing_queue
@@ -179,6 +180,25 @@
     run_in_virtual_time(scenario())
 
 
+# Guards against deducting the time since a pause from a request that arrives long after it.
+def test_request_long_after_pipelined_ones_has_its_whole_budget(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def scenario() -> None:
+        monkeypatch.setattr(sockets, "_READ_BUFFER", memoryview(bytearray(1024)))
+        async with running_proxy(respond_ok) as proxy:
+            reader, writer = await proxy.connect()
+            # The first request pauses reading twice; when it is complete, a part of the second one is unread.
+            first = chunked_request(bytes(200), X_Call_Id="first") + LAST_CHUNK
+            writer.write(first + request("pay", body=bytes(2000), X_Call_Id="second"))
+            for _ in range(2):
+                assert (await read_response(reader))[0] == 200
+            await advance(1.5)
+            writer.write(request(budget="1.0"))
+            assert (await read_response(reader))[0] == 200
+            writer.close()
+
+    run_in_virtual_time(scenario())
+
+
 # Guards against an attempt for a client that has left while its request waited to be parsed.
 def test_request_whose_client_leaves_while_it_is_parsed_is_not_forwarded(
     monkeypatch: pytest.MonkeyPatch,
