Show that a slow discovery leaves the sidecar with an old list

Cause: the call after a failure is given up after 2.5 s, and the next one waits as long again in a discovery whose calls may wait for 3 s.

--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,4 +1,4 @@
-"""Case 9: bad peers with 60 MB to send hold every place, and requests on new connections get no answer."""
+"""Case 9: bad peers send much at once and come back, and the sidecar goes over its limit of memory."""
 
 from __future__ import annotations
 
@@ -12,56 +12,77 @@
 from standins_2.bad_peers import start_bad_peers
 from standins_2.case import Scene, run_case, sample_settings
 from standins_2.client import Call, encode_call, new_id
+from standins_2.sidecar_process import SidecarProcess
 
-_SOCKETS = 256
+_MEMORY_MB = 80
+_SOCKETS = 384
 _PROCESSES = 2
-_PEERS_EACH = 150
-_PEER_BYTES = 60_000_000
-_DURATION_S = 10.0
-_CLIENTS = 8
-_PAUSE_S = 0.2
+_PEERS_EACH = 100
+_PEER_BYTES = 300_000
+_CLIENTS = 4
 _BUDGET_S = 1.0
-_LATEST_S = _BUDGET_S + 0.5 + 0.05  # half a second after its time a request is lost; limits are 50 ms longer
+_DURATION_S = 15.0
+_SAMPLE_S = 0.02
 
 
-async def _client(scene: Scene, calls: list[Call], until: float) -> None:
-    """Send ordinary requests, on a new connection whenever the last one was closed."""
-    connection = None
+def _memory_mb(process_id: int) -> float:
+    """Return the memory of a process that no file backs, in MiB: the least that the platform can count."""
+    for line in Path(f"/proc/{process_id}/status").read_text(encoding="ascii").splitlines():
+        if line.startswith("RssAnon:"):
+            return int(line.split()[1]) / 1024
+    return 0.0
+
+
+async def _client(scene: Scene, until: float) -> None:
+    """Send an ordinary request every 0.1 s, on one connection as long as it stays open."""
+    connection = await scene.connect()
     while time.monotonic() < until:
         try:
-            if connection is None or not connection.is_usable or connection.reader.at_eof():
-                connection = await asyncio.wait_for(scene.connect(), 3.0)
-        except (OSError, TimeoutError):
-            scene.record.write("a client could not connect")
-            continue
+            if not connection.is_usable:
+                connection = await scene.connect()
+        except ConnectionError:
+            return
         call = Call(new_id(), "send", _BUDGET_S)
-        calls.append(call)
-        await connection.send(call, encode_call(call, body=b"level 412"), _LATEST_S)
-        outcome = str(call.answer.status) if call.answer else call.error or "no answer, the client left"
-        scene.record.write(f"{call.request_id}: {outcome} after {call.answered_at - call.sent_at:.3f} s")
-        await asyncio.sleep(_PAUSE_S)
+        await connection.send(call, encode_call(call, body=b"level 412"))
+        outcome = str(call.answer.status) if call.answer else call.error or "no answer"
+        scene.record.write(f"{call.request_id}: {outcome}")
+        await asyncio.sleep(0.1)
+
+
+async def _watch_memory(scene: Scene, sidecar: SidecarProcess, until: float) -> list[str]:
+    """Kill the sidecar once it is over its limit, as the platform does, and return that it was."""
+    assert sidecar.process is not None
+    most_mb = 0.0
+    while time.monotonic() < until and sidecar.is_running():
+        await asyncio.sleep(_SAMPLE_S)
+        used_mb = _memory_mb(sidecar.process.pid)
+        if used_mb > most_mb + 1.0:
+            scene.record.write(f"memory of the sidecar: {used_mb:.1f} MB")
+            most_mb = used_mb
+        if used_mb > _MEMORY_MB:
+            scene.record.write("the platform kills the sidecar")
+            sidecar.process.kill()
+            return [f"the sidecar held {used_mb:.1f} MB of {_MEMORY_MB} MB and was killed"]
+    return [] if sidecar.is_running() else ["the sidecar has ended"]
 
 
 async def play(scene: Scene) -> list[str]:
-    """Return the requests that were taken and got neither an answer nor a close."""
-    limits = {"cores": 1.0, "memory_mb": 192, "sockets": _SOCKETS}
+    """Return how the sidecar went over its limit."""
+    limits = {"cores": 1.0, "memory_mb": _MEMORY_MB, "sockets": _SOCKETS}
     sidecar = await scene.start(4, sample_settings(), limits)
     until = time.monotonic() + _DURATION_S
     if scene.has_trouble:
-        scene.record.write(f"{_PROCESSES * _PEERS_EACH} bad peers begin to send {_PEER_BYTES} bytes each")
+        scene.record.write(
+            f"{_PROCESSES * _PEERS_EACH} bad peers send {_PEER_BYTES} bytes each, again and again"
+        )
         scene.processes += [
             await start_bad_peers(sidecar.address, _PEERS_EACH, _PEER_BYTES, _DURATION_S)
             for _ in range(_PROCESSES)
         ]
-    calls: list[Call] = []
-    await asyncio.gather(*(_client(scene, calls, until) for _ in range(_CLIENTS)))
-    for attempt in scene.attempts:
-        scene.record.write(f"{attempt.server} ran {attempt.request_id}")
-    scene.record.write(
-        f"{sum(call.answer is not None for call in calls)} of {len(calls)} requests were answered"
-    )
-    lost = [f"{call.request_id} was sent and never answered" for call in calls if call.left_at is not None]
-    return lost if sidecar.is_running() else [*lost, "the sidecar has ended"]
+    clients = [asyncio.create_task(_client(scene, until)) for _ in range(_CLIENTS)]
+    broken = await _watch_memory(scene, sidecar, until)
+    await asyncio.gather(*clients, return_exceptions=True)
+    return broken
 
 
 if __name__ == "__main__":
--- a/review/standins_2/discovery.py
+++ b/review/standins_2/discovery.py
@@ -19,6 +19,7 @@
         index: The version of the list.
         is_silent: Whether calls get no answer.
         is_down: Whether calls get 503.
+        turn_after_s: How long each call waits for its turn, in seconds.
         address: Where it listens.
         calls: The targets of the calls that came, in order.
         on_answer: Called with the version of the list when it is about to be written to the sidecar.
@@ -29,6 +30,7 @@
         self.index = 1
         self.is_silent = False
         self.is_down = False
+        self.turn_after_s = 0.0
         self.address = ""
         self.calls: list[str] = []
         self.on_answer: Callable[[int], None] = lambda _index: None
@@ -90,6 +92,7 @@
 
     async def _answer(self, connection: ServerConnection, target: str) -> None:
         self.calls.append(target)
+        await asyncio.sleep(self.turn_after_s)
         query = parse_qs(urlsplit(target).query)
         if "after" in query and not self.is_down:
             after, wait_s = int(query["after"][0]), int(query.get("wait_ms", ["0"])[0]) / 1000
