End the processes of a case of the second review on SIGTERM, too

Cause: a case that was told to end left its sidecar running. Change: SIGTERM ends a case by way of its clean-up, with exit code 2.

--- a/review/standins_2/case.py
+++ b/review/standins_2/case.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import os
+import signal
 import sys
 import tempfile
 import traceback
@@ -108,9 +109,10 @@
     """
     record = Record(folder / "record.txt")
     code = NOT_RUN
+    signal.signal(signal.SIGTERM, signal.default_int_handler)  # ends the processes that were started, too
     try:
         code = asyncio.run(_play(record, play))
-    except Exception:  # the case could not run, whatever the reason
+    except (Exception, KeyboardInterrupt):  # the case could not run, whatever the reason
         record.write(traceback.format_exc())
     record.write(f"exit code {code}")
     record.close()
