Free what a connection has received as soon as nothing more is parsed on it

Cause: a closed or rejected connection keeps its parser with up to 128 KiB until a collection of reference cycles, which counts objects and not bytes; and h11's error, which quotes the whole line, is part of a cycle with the frames that hold the data. Change: client connections discard received data after their last response and when closed, server connections an incomplete response when closed; the parser raises an error of its own with 200 characters of the reason.

--- a/sidecar/proxy/client_connection.py
+++ b/sidecar/proxy/client_connection.py
@@ -78,12 +78,16 @@
         self._owner.connection_opened(self, self._sock)
 
     def connection_lost(self, _exc: Exception | None) -> None:
-        """Unregister the connection, and drop the request in flight."""
+        """Unregister the connection, and drop the request in flight and all received data.
+
+        The data would stay in memory until the next collection of reference cycles otherwise.
+        """
         if self._pacing is not None:
             self._pacing.stop()
         parsing_queue().discard(self)
         self._owner.connection_closed(self)
         self._abandon_request()
+        self._discard_received()
 
     def eof_received(self) -> bool:
         """Close the connection: a half-closed connection counts as disconnected."""
@@ -384,12 +388,18 @@
             return
         self._discarded_bytes = 0
         self._update_pacing()
+        self._discard_received()
         self._owner.change_state(self, ConnectionState.DELIVERING)
         try:
             self._transport.write_eof()
         except OSError:
             self.abort()  # the client has already reset the connection
 
+    def _discard_received(self) -> None:
+        """Free the received data: nothing more is parsed on this connection."""
+        self._reader.discard_all()
+        self._lookahead = None
+
     def _write(self, data: bytes) -> None:
         if self._transport is not None:
             self._transport.write(data)
--- a/sidecar/proxy/incremental_parser.py
+++ b/sidecar/proxy/incremental_parser.py
@@ -17,6 +17,7 @@
 _PIECE_BYTES = 4 * 1024
 # How many events of a message its connection may parse at once; the shared parsing queue paces the rest.
 _IMMEDIATE_EVENTS = 32
+_MAX_REASON_LENGTH = 200  # characters of h11's reason for an error, which may quote a whole line
 _HEADS = (h11.Request, h11.Response)
 
 Event = h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]
@@ -79,7 +80,7 @@
                 self.connection.receive_data(self._take_pending(self._piece_bytes))
             if self._syntax.is_due:
                 self._syntax.check(self.connection.trailing_data[0])
-            event = self.connection.next_event()
+            event = self._parse()
             self._needs_data = event is h11.NEED_DATA
             if not self._needs_data:
                 self._event_count += 1
@@ -91,6 +92,18 @@
             self._piece_bytes = sys.maxsize  # one step takes all of its body
         return event
 
+    def _parse(self) -> Event:
+        """Parse the next event, and keep none of the data if there is an error.
+
+        The error that h11 raises is part of a reference cycle with its frames, which hold the data.
+        """
+        try:
+            return self.connection.next_event()
+        except h11.RemoteProtocolError as error:
+            error.__traceback__ = None
+            reason = str(error)
+        raise h11.RemoteProtocolError(reason[:_MAX_REASON_LENGTH])
+
     def _take_pending(self, byte_count: int) -> bytes:
         if len(self._pending) <= byte_count:
             piece = bytes(self._pending)
--- a/sidecar/proxy/request_reader.py
+++ b/sidecar/proxy/request_reader.py
@@ -114,6 +114,12 @@
         """Discard the request, which has been answered."""
         self._head, self._body = None, bytearray()
 
+    def discard_all(self) -> None:
+        """Discard the request and all received data, as nothing more is read on the connection."""
+        self.discard_request()
+        if self.unread:
+            self._parser = _new_parser()
+
     def start_next(self) -> None:
         """Proceed to the next request, which begins with the unread data."""
         unread = self.unread
--- a/sidecar/proxy/server_connection.py
+++ b/sidecar/proxy/server_connection.py
@@ -159,6 +159,7 @@
             self._pacing.stop()
         self.has_local_failure = isinstance(exc, OSError) and exc.errno in LOCAL_ERRNOS
         self._cancel_response_timer()
+        self._response_reader = None  # frees what was received of an incomplete response
         self._notify(None)
         self.on_lost()
 
--- a/tests/proxy/test_malformed_lines.py
+++ b/tests/proxy/test_malformed_lines.py
@@ -224,3 +224,15 @@
         return
     if expected is not None:
         assert parse_in_pieces(data, piece_bytes) == expected
+
+
+# Guards against a response, and a log line, that are several times as long as the request.
+def test_error_quotes_no_more_than_the_beginning_of_a_long_line() -> None:
+    async def scenario() -> None:
+        async with running_proxy(respond_ok) as proxy:
+            data = HEAD + b"\xff" * 60_000 + b"\r\n\r\n"
+            status, _, body = await send_request(proxy.sidecar.frontend.address, data)
+            assert status == 400
+            assert 0 < len(body) < 1000
+
+    run_scenario(scenario())
