Let a call to the registry go on beside the next one when it times out

Cause: a short poll was given up after 2.5 s and its connection closed when the next call was sent, so that every response was lost; each time-out made the next call such a poll again. Ruled out: the balancer's wait between calls (none after a time-out), superseded lists (no response in the log). Change: the latest call that timed out goes on until a later one is answered or times out, too; registry_call.py holds one call, discovery_client.py decides on calls.

--- a/sidecar/proxy/discovery_client.py
+++ b/sidecar/proxy/discovery_client.py
@@ -4,20 +4,21 @@
 sidecar counts as notified of a change 6 s after the registry has the change and is reachable.  Each of two
 sequences has to fit into that time: a watch that gets no response, followed by the next call; and a connect,
 followed by a wait of the balancer and a call.
+
+A call that times out goes on beside the next one: a busy registry responds late to each call, and if every
+call were given up shortly before its response, no list would ever arrive.
 """
 
 from __future__ import annotations
 
 import asyncio
-import json
 import logging
 import random
 from collections.abc import Callable
 
 from sidecar.proxy.addresses import Address
-from sidecar.proxy.http_messages import Response, encode_message
-from sidecar.proxy.registry_messages import RegistryResponse, parse_registry_response
-from sidecar.proxy.server_connection import ServerConnection, connect
+from sidecar.proxy.registry_call import RegistryCall, RegistryTimeoutError, open_call
+from sidecar.proxy.registry_messages import RegistryResponse
 
 log = logging.getLogger(__name__)
 
@@ -26,28 +27,11 @@
 # whose watches got no response at the same moment do not all call again at the same moment.
 _WATCH_WAIT_MS = (3_200, 4_000)
 _WATCH_MARGIN_S = 0.5  # how much longer the call may take than the registry may hold it
-# Timeout of a call that the registry must not hold.  A busy registry lets calls wait for 2 s.
+# After this time, a call that the registry must not hold is followed by the next one.
 _SHORT_POLL_TIMEOUT_S = 2.5
-_CONNECT_TIMEOUT_S = 1.5  # leaves time for the first retransmission of a lost SYN
 # Pause after a call of the watch that ends at once without a change.  It is shorter than the 200 ms after
 # which the next call would count as a new watch.
 _EMPTY_RESPONSE_PAUSE_S = 0.1
-_MAX_RESPONSE_BYTES = 8 * 1024 * 1024
-_OK = 200
-
-
-class RegistryConnectionError(ConnectionResetError):
-    """The connection to the registry broke before its response was complete."""
-
-    def __init__(self) -> None:
-        super().__init__("connection closed before the response was complete")
-
-
-class RegistryStatusError(ConnectionRefusedError):
-    """The registry responded with a status other than 200."""
-
-    def __init__(self, status: int) -> None:
-        super().__init__(f"unexpected status {status}")
 
 
 class DiscoveryClient:
@@ -70,8 +54,8 @@
         self._is_stopped = False
         self._watch: asyncio.Task[None] | None = None
         self._fetches: set[asyncio.Task[bool]] = set()  # one for each fetch in progress
-        # The connection of a call that timed out; it stays open until the next call is sent.
-        self._timed_out_connection: ServerConnection | None = None
+        # The latest call that timed out; it goes on until a later call gets a response or times out, too.
+        self._late_call: RegistryCall | None = None
 
     def start_watch(self) -> None:
         """Start the watch, unless it is running."""
@@ -83,7 +67,7 @@
         if self._watch is not None:
             self._watch.cancel()
             self._watch = None
-        self._abort_timed_out_connection()
+        self._replace_late_call(None)
 
     def fetch(self) -> None:
         """Fetch the complete list once."""
@@ -108,10 +92,17 @@
         self._is_stopped = True
         self.stop_watch()
 
-    def _abort_timed_out_connection(self) -> None:
-        connection, self._timed_out_connection = self._timed_out_connection, None
-        if connection is not None:
-            connection.abort()
+    def _replace_late_call(self, call: RegistryCall | None) -> None:
+        """End the call that has timed out before, if any, and wait for the response to this one instead.
+
+        A sidecar with no call in flight counts as notified of all changes that are older than the longest
+        interval between calls.  Therefore a call that times out stays open until the next one is sent, too.
+        """
+        former, self._late_call = self._late_call, call
+        if former is not None:
+            former.abort()
+        if call is not None:
+            call.call_when_ended(self._on_late_response)
 
     async def _watch_until_failure(self) -> None:
         """Make the calls of the watch one after the other, until one fails.
@@ -144,27 +135,84 @@
 
     async def _call_and_report(self, target: str, timeout_s: float) -> bool:
         """Make a call and report its result; return whether the next call may be made at once."""
-        response: RegistryResponse | None = None
         version = self._version
-        timeout = asyncio.timeout(timeout_s)
         try:
-            async with timeout:
-                response = self._parse(await self._call(target, timeout))
-                if self._is_superseded(response, version):
-                    self._has_last_call_failed = False
-                    return True
-                self._version = response.version
-        except (OSError, ValueError) as error:  # TimeoutError is an OSError
-            log.warning("registry at %s:%d: %s failed: %r", *self._address, target, error)
-        except Exception:  # a defect or an invalid response: the call counts as failed
-            log.exception(
-                "registry at %s:%d: the response to %s could not be handled", *self._address, target
-            )
-        has_succeeded = response is not None and self._apply(response)
+            response = await self._call(target, timeout_s)
+        except RegistryTimeoutError as error:
+            self._report_failure(target, error)
+            return True
+        except Exception as error:
+            self._report_failure(target, error)
+            return False
+        return self._accept(response, version)
+
+    async def _call(self, target: str, timeout_s: float) -> RegistryResponse:
+        """Make a call.
+
+        Raises:
+            RegistryTimeoutError: There was no response in time; the call goes on.
+            OSError: The call failed.
+            ValueError: The response is not an endpoint list.
+        """
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + timeout_s
+        call = await open_call(self._address, target, self._version)
+        try:
+            response = await call.wait(deadline - loop.time())
+        except RegistryTimeoutError:
+            self._replace_late_call(call)
+            raise
+        except BaseException:
+            call.abort()
+            raise
+        call.abort()
+        self._replace_late_call(None)
+        return response
+
+    def _on_late_response(self, call: RegistryCall) -> None:
+        """Handle the end of a call that had timed out."""
+        if call is not self._late_call:
+            return
+        self._replace_late_call(None)
+        try:
+            response = call.result()
+        except Exception as error:  # the failure of the call has been reported when it timed out
+            self._log_failure(call.target, error)
+        else:
+            self._accept(response, call.version)
+
+    def _accept(self, response: RegistryResponse, version: int | None) -> bool:
+        """Apply a response, unless it is superseded; return whether the call succeeded.
+
+        Args:
+            response: The response to a call.
+            version: The version that was known when the call was made, if any.
+        """
+        if self._is_superseded(response, version):
+            self._has_last_call_failed = False
+            return True
+        self._version = response.version
+        has_succeeded = self._apply(response)
+        self._has_last_call_failed = not has_succeeded
         if not has_succeeded:
             self._on_response(None)
-        self._has_last_call_failed = not has_succeeded
-        return has_succeeded or timeout.expired()
+        return has_succeeded
+
+    def _report_failure(self, target: str, error: Exception) -> None:
+        self._has_last_call_failed = True
+        self._log_failure(target, error)
+        self._on_response(None)
+
+    def _log_failure(self, target: str, error: Exception) -> None:
+        """Log why a call failed, with a stack trace if the cause may be a defect of this program."""
+        has_known_cause = isinstance(error, OSError | ValueError)
+        log.warning(
+            "registry at %s:%d: %s failed: %r",
+            *self._address,
+            target,
+            error,
+            exc_info=None if has_known_cause else error,
+        )
 
     def _is_superseded(self, response: RegistryResponse, version: int | None) -> bool:
         """Return whether another call has received a newer version since this call was made.
@@ -186,45 +234,3 @@
             self._version = None  # it may have been applied in part, so the complete list is needed
             return False
         return True
-
-    @staticmethod
-    def _parse(response: Response | None) -> RegistryResponse:
-        if response is None:
-            raise RegistryConnectionError
-        if response.status != _OK:
-            raise RegistryStatusError(response.status)
-        return parse_registry_response(json.loads(response.body))
-
-    async def _call(self, target: str, call_timeout: asyncio.Timeout) -> Response | None:
-        """Make a call within the running timeout; return its response, or None if the connection broke."""
-        async with asyncio.timeout(_CONNECT_TIMEOUT_S):
-            connection = await connect(self._address, _MAX_RESPONSE_BYTES)
-        try:
-            return await self._send_request(connection, target)
-        finally:
-            if call_timeout.expired():
-                # A sidecar with no call in flight counts as notified of all changes that are older than the
-                # longest interval between calls.  Therefore this call stays open until the next is sent.
-                self._abort_timed_out_connection()
-                self._timed_out_connection = connection
-            else:
-                connection.abort()
-
-    async def _send_request(self, connection: ServerConnection, target: str) -> Response | None:
-        if not connection.is_idle():  # it broke while it was being opened, and would never report that
-            raise RegistryConnectionError
-        received: asyncio.Future[Response | None] = asyncio.get_running_loop().create_future()
-
-        def on_response(response: Response | None) -> None:
-            if not received.done():
-                received.set_result(response)
-
-        connection.request(self._encode_request(target), on_response)
-        self._abort_timed_out_connection()
-        return await received
-
-    def _encode_request(self, target: str) -> bytes:
-        host = f"{self._address[0]}:{self._address[1]}".encode()
-        return encode_message(
-            b"GET %b HTTP/1.1" % target.encode(), [(b"Host", host), (b"Connection", b"close")]
-        )
