Keep the data of all clients within a part of the memory limit

Cause: buffers were bounded for each connection, never together; memory_mb was not read. Change: buffer_budget.py counts what connections buffer; memory_pressure.py pauses and rejects incomplete requests beyond it; a body in flight stands in memory once; client_transport.py takes the socket's state from client_connection.py. limits.memory_mb is read (192 when absent).

--- a/sidecar/config.py
+++ b/sidecar/config.py
@@ -8,6 +8,8 @@
 from sidecar.proxy.registry_messages import RegistryResponse
 from sidecar.settings import Settings
 
+DEFAULT_MEMORY_MB = 192.0  # the largest limit that the platform sets
+
 
 @dataclass(frozen=True, slots=True)
 class Config:
@@ -21,6 +23,7 @@
         settings: Settings of the balancer.
         cached_endpoints: Last known endpoint list, used only at the start; reloads ignore it.
         version: Version of the configuration; None if it has none.
+        memory_mb: Limit on the memory of the process, in MiB.
     """
 
     listen: Address
@@ -30,3 +33,4 @@
     settings: Settings
     cached_endpoints: RegistryResponse = field(compare=False)
     version: int | None = None
+    memory_mb: float = DEFAULT_MEMORY_MB
--- a/sidecar/configuration.py
+++ b/sidecar/configuration.py
@@ -7,9 +7,10 @@
 from __future__ import annotations
 
 import json
+import math
 from collections.abc import Mapping
 
-from sidecar.config import Config
+from sidecar.config import DEFAULT_MEMORY_MB, Config
 from sidecar.proxy.addresses import Address, parse_address
 from sidecar.proxy.registry_messages import RegistryResponse, parse_registry_response
 from sidecar.settings import ConfigurationError, InvalidSettingError
@@ -71,6 +72,7 @@
         sockets=_sockets(document.get("limits")),
         settings=settings_from_wire(document.get("settings")),
         cached_endpoints=_cached_endpoints(document.get("known"), with_cached_endpoints),
+        memory_mb=_memory_mb(document.get("limits")),
         version=_version(document.get("version")),
     )
 
@@ -144,6 +146,15 @@
     return _integer(value, "limits.sockets", low=1)
 
 
+def _memory_mb(limits: object) -> float:
+    value = limits.get("memory_mb") if isinstance(limits, dict) else None
+    if value is None:
+        return DEFAULT_MEMORY_MB
+    if isinstance(value, bool) or not isinstance(value, int | float) or not 0 < value < math.inf:
+        raise InvalidSettingError("limits.memory_mb", "a positive number", value)
+    return float(value)
+
+
 def _integer(value: object, key: str, low: int) -> int:
     """Return a whole number; unlike in the settings, neither 2.0 nor null is accepted."""
     if type(value) is not int or value < low:
--- a/sidecar/proxy/client_connection.py
+++ b/sidecar/proxy/client_connection.py
@@ -10,7 +10,9 @@
 import h11
 
 from sidecar.proxy.arrival_time import ArrivalTime
+from sidecar.proxy.buffer_budget import PRESSURE_READ_BYTES
 from sidecar.proxy.client_request import ClientRequest
+from sidecar.proxy.client_transport import ClientTransport, PauseReason
 from sidecar.proxy.connection_owner import ConnectionOwner
 from sidecar.proxy.connection_state import ConnectionState
 from sidecar.proxy.http_messages import Headers, encode_response
@@ -19,6 +21,7 @@
 from sidecar.proxy.request_errors import (
     InternalError,
     MalformedRequestError,
+    MemoryShortageError,
     ParsingTimeoutError,
     RequestError,
     RequestTimeoutError,
@@ -26,7 +29,7 @@
 from sidecar.proxy.request_lookahead import RequestLookahead
 from sidecar.proxy.request_reader import MAX_BODY_BYTES, ReceivedRequest, RequestReader
 from sidecar.proxy.request_routing import ImmediateResponse, route_request
-from sidecar.proxy.sockets import SharedBufferProtocol, has_peer_closed, is_receive_queue_empty
+from sidecar.proxy.sockets import has_peer_closed
 
 log = logging.getLogger(__name__)
 
@@ -35,7 +38,7 @@
 _MAX_DISCARDED_BYTES = 128 * MAX_BODY_BYTES
 
 
-class ClientConnection(SharedBufferProtocol):
+class ClientConnection(ClientTransport):
     """A connection from a client; it carries one request at a time.
 
     Attributes:
@@ -53,17 +56,14 @@
             connected_after: Event loop time before which no data can have arrived, in seconds.
             shed_load: Reject the first API request because of overload.
         """
+        super().__init__(sock)
         self.state = ConnectionState.READING
         self._owner = owner
-        self._sock = sock
         self._shed_load = shed_load
         self._arrival = ArrivalTime(connected_after)
         self._reader = RequestReader(self._write)
         self._lookahead: RequestLookahead | None = None  # None until data is pipelined
-        self._transport: asyncio.Transport | None = None
-        self._pacing: PacedReading | None = None
         self._request: ClientRequest | None = None  # the request in flight
-        self._write_blocked = False  # the last response has not been fully written
         self._discarded_bytes: int | None = None  # discarded so far; None while data is parsed
 
     # -- asyncio protocol -----------------------------------------------------------------------------
@@ -93,11 +93,20 @@
         """Close the connection: a half-closed connection counts as disconnected."""
         return False
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer for the next read; a small one while memory is short."""
+        buffer = super().get_buffer(sizehint)
+        return buffer[:PRESSURE_READ_BYTES] if self._owner.is_short_of_memory() else buffer
+
     def data_received(self, data: bytes) -> None:
         """Read a request, or examine the data pipelined behind the one in flight."""
         if self._discarded_bytes is not None:
             self._discard(len(data))
-            return
+        else:
+            self._receive(data)
+            self._owner.buffer_changed(self)
+
+    def _receive(self, data: bytes) -> None:
         if self._request is None and has_peer_closed(self._sock):
             # The client disconnected while its request waited to be read.  Handling such requests under load
             # would delay the requests of other clients until those clients give up as well.
@@ -115,13 +124,10 @@
         else:
             self._limit_pipelined()
 
-    def pause_writing(self) -> None:
-        """Record that the response has not been fully written; called by the transport."""
-        self._write_blocked = True
-
     def resume_writing(self) -> None:
         """Continue now that the response has been fully written; called by the transport."""
         self._write_blocked = False
+        self._owner.buffer_changed(self)
         if self._request is None and self._discarded_bytes is None:
             self._read_next_request()
         elif self._request is None:
@@ -141,33 +147,16 @@
         self._look_ahead(self._lookahead, max_events)
         return self._lookahead.has_backlog
 
-    # -- Responder ------------------------------------------------------------------------------------
-
-    def is_disconnected(self) -> bool:
-        """Return whether the connection is closed, even if a close by the client has not been read yet."""
-        return self._transport is None or self._transport.is_closing() or has_peer_closed(self._sock)
-
     # -- State ----------------------------------------------------------------------------------------
 
-    def has_unread_data(self) -> bool:
-        """Return whether the kernel holds data, an end of stream or an error that has not been read yet."""
-        return not is_receive_queue_empty(self._sock)
-
     def has_partial_request(self) -> bool:
         """Return whether part of a request without a response has been read."""
         return self._reader.has_partial_request()
 
-    def is_parsing_deferred(self) -> bool:
-        """Return whether a request has been read, perhaps completely, that waits to be parsed."""
-        return self._pacing is not None and self._pacing.is_paused
-
-    def can_close_safely(self) -> bool:
-        """Return whether a close would not truncate a response.
-
-        A response is truncated if it has not been fully written, or if a close with unread data resets the
-        connection.
-        """
-        return not self._write_blocked and not self.has_unread_data()
+    @property
+    def buffered_bytes(self) -> int:
+        """The memory that the data of this connection takes."""
+        return self._reader.buffered_bytes + self.unwritten_bytes
 
     def is_idle(self) -> bool:
         """Return whether the connection may be closed: no request is in flight, partly read or unread."""
@@ -175,16 +164,6 @@
             return False
         return not self.has_partial_request() and not self.has_unread_data()
 
-    def close(self) -> None:
-        """Close the connection once all data has been written."""
-        if self._transport is not None:
-            self._transport.close()
-
-    def abort(self) -> None:
-        """Close the connection immediately; data that has not been written is lost."""
-        if self._transport is not None:
-            self._transport.abort()
-
     def on_state_timeout(self) -> None:
         """End the connection, unless unread data is about to change its state.
 
@@ -196,11 +175,25 @@
             self._fail_in_flight()
         elif self.is_idle():
             self.close()
+        elif PauseReason.MEMORY in self._pause_reasons:
+            self.reject_incomplete()
         elif self.is_parsing_deferred():
             self._reject(ParsingTimeoutError())
         elif self.state is not ConnectionState.IDLE and not self.has_unread_data():
             self._reject(RequestTimeoutError())
 
+    def is_incomplete(self) -> bool:
+        """Return whether a part of a request has been received, and no request is in flight."""
+        return self.state is ConnectionState.READING and self.has_partial_request()
+
+    def reject_incomplete(self) -> None:
+        """Reject a request that has not been received completely, to free the memory of its data."""
+        if self.is_closing():
+            self._discard_received()
+            return
+        self._reject(MemoryShortageError())
+        self.resume_reading(PauseReason.MEMORY)  # what still arrives is discarded
+
     # -- Reading --------------------------------------------------------------------------------------
 
     def _read(self, max_events: int | None = None) -> None:
@@ -291,9 +284,7 @@
 
     def _read_next_request(self) -> None:
         """Read the next request from the data pipelined behind the answered one."""
-        if self._transport is None or self._transport.is_closing():
-            return
-        if self._request is not None or self._write_blocked:
+        if self.is_closing() or self._request is not None or self._write_blocked:
             return
         self._become_idle()
         self._read()
@@ -308,8 +299,11 @@
     def _handle_request(self, received: ReceivedRequest) -> None:
         """Answer a request directly or dispatch it to the handler."""
         self._owner.change_state(self, ConnectionState.IN_FLIGHT)
-        handler, settings = self._owner.handler, self._owner.settings
-        routed = route_request(received, handler, settings, self, shed_load=self._shed_load)
+        self.resume_reading(PauseReason.MEMORY)  # a close must not go unnoticed
+        is_large = self.buffered_bytes >= PRESSURE_READ_BYTES
+        shed_load = self._shed_load or (is_large and self._owner.is_short_of_memory())
+        owner = self._owner
+        routed = route_request(received, owner.handler, owner.settings, self, shed_load=shed_load)
         if isinstance(routed, ImmediateResponse):
             self.respond(routed.status, routed.headers, b"", close=routed.close)
         else:
@@ -349,18 +343,19 @@
     def respond(self, status: int, headers: Headers, body: bytes, *, close: bool = False) -> None:
         """Write a complete response; keep the connection open where possible, unless `close` is set."""
         self._request = None
-        if self._transport is None or self._transport.is_closing():
+        if self.is_closing():
             return
         close = close or self._must_close()
         response = encode_response(
             status, headers, body, close=close, with_body=not self._reader.is_head_request
         )
         self._reader.discard_request()
-        self._transport.write(response)
+        self._write(response)
         if close:
             self._half_close()
         else:
             self._keep_alive()
+        self._owner.buffer_changed(self)
 
     def _must_close(self) -> bool:
         """Return whether the connection has to be closed after the current response."""
@@ -384,7 +379,7 @@
 
         If data stayed unread, closing the connection would reset it, and the client might lose the response.
         """
-        if self._transport is None or self._transport.is_closing():
+        if self._transport is None or self.is_closing():
             return
         self._discarded_bytes = 0
         self._update_pacing()
@@ -399,7 +394,3 @@
         """Free the received data: nothing more is parsed on this connection."""
         self._reader.discard_all()
         self._lookahead = None
-
-    def _write(self, data: bytes) -> None:
-        if self._transport is not None:
-            self._transport.write(data)
--- a/sidecar/proxy/connection_owner.py
+++ b/sidecar/proxy/connection_owner.py
@@ -32,5 +32,11 @@
     def connection_closed(self, connection: ClientConnection) -> None:
         """Unregister a connection that has been closed."""
 
+    def buffer_changed(self, connection: ClientConnection) -> None:
+        """Record how much a connection buffers, and stop reading it if that is too much."""
+
+    def is_short_of_memory(self) -> bool:
+        """Return whether the data of all connections takes more memory than it may."""
+
     def change_state(self, connection: ClientConnection, state: ConnectionState) -> None:
         """Change the state of a connection."""
--- a/sidecar/proxy/connection_table.py
+++ b/sidecar/proxy/connection_table.py
@@ -109,6 +109,17 @@
                 return  # the following connections entered the state later
             connection.on_state_timeout()
 
+    # -- Memory ---------------------------------------------------------------------------------------
+
+    def incomplete_since(self, latest: float) -> list[ClientConnection]:
+        """Return the connections whose request has been incomplete since a time, longest first.
+
+        Args:
+            latest: Event loop time by which the request had begun, or its connection was new.
+        """
+        reading = self._by_state[ConnectionState.READING].items()
+        return [connection for connection, since in reading if since <= latest]
+
     # -- Capacity -------------------------------------------------------------------------------------
 
     def is_overloaded(self) -> bool:
@@ -151,7 +162,7 @@
     def _reject_deferred(self) -> bool:
         """Reject the request that has waited for longest to be parsed; return whether there was one."""
         reading = self._by_state[ConnectionState.READING]
-        chosen = next((connection for connection in reading if connection.is_parsing_deferred()), None)
+        chosen = next((connection for connection in reading if connection.is_reading_paused()), None)
         if chosen is None:
             return False
         chosen.on_state_timeout()
@@ -166,7 +177,7 @@
         time qualify, without unread data and without a request that waits to be parsed.
         """
         for connection, since in islice(self._by_state[state].items(), _MAX_EVICTION_CANDIDATES):
-            has_data = connection.is_parsing_deferred() or connection.has_unread_data()
+            has_data = connection.is_reading_paused() or connection.has_unread_data()
             if since < entered_before and not has_data:
                 return connection
         return None
--- a/sidecar/proxy/driver.py
+++ b/sidecar/proxy/driver.py
@@ -29,6 +29,7 @@
 from sidecar.proxy.active_requests import ActiveRequests
 from sidecar.proxy.addresses import Address
 from sidecar.proxy.attempts import AttemptSender
+from sidecar.proxy.buffer_budget import BufferBudget
 from sidecar.proxy.client_request import ClientRequest
 from sidecar.proxy.clock import Clock
 from sidecar.proxy.connection_pool import ConnectionPool
@@ -87,7 +88,8 @@
         self._requests = RequestLifecycle(self._active, self._pool, self._clock, self.handle_event)
         self._attempts = AttemptSender(settings, self._requests, self._pool, self._clock, self.handle_event)
         self._health_checks = HealthChecker(settings, self._pool, self._clock, self.handle_event)
-        self.frontend = Frontend(config.listen, max_connections, self, settings)
+        budget = BufferBudget.for_memory_limit(config.memory_mb)
+        self.frontend = Frontend(config.listen, max_connections, self, settings, budget)
 
     async def run(self, stop: asyncio.Event) -> None:
         """Serve until `stop` is set, then shut down gracefully."""
--- a/sidecar/proxy/frontend.py
+++ b/sidecar/proxy/frontend.py
@@ -7,12 +7,14 @@
 import socket
 
 from sidecar.proxy.addresses import Address
+from sidecar.proxy.buffer_budget import BufferBudget
 from sidecar.proxy.client_connection import ClientConnection
 from sidecar.proxy.client_request import RequestHandler
 from sidecar.proxy.connection_state import ConnectionState
 from sidecar.proxy.connection_table import ConnectionTable
 from sidecar.proxy.event_loop import earliest_arrival
 from sidecar.proxy.listener import BACKLOG, accept_connection, has_pending_connection, open_listener
+from sidecar.proxy.memory_pressure import MemoryPressure
 from sidecar.settings import Settings
 
 log = logging.getLogger(__name__)
@@ -33,12 +35,18 @@
     """
 
     def __init__(
-        self, address: Address, max_connections: int, handler: RequestHandler, settings: Settings
+        self,
+        address: Address,
+        max_connections: int,
+        handler: RequestHandler,
+        settings: Settings,
+        budget: BufferBudget,
     ) -> None:
         self.handler = handler
         self.settings = settings
         self.draining = False
         self.table = ConnectionTable(max_connections)
+        self._pressure = MemoryPressure(budget, self.table)
         self._accepting = False
         # Event loop time at which the accept queue was last known to be empty; None: at the loop's last poll.
         self._queue_empty_at: float | None = None
@@ -142,6 +150,15 @@
     def connection_closed(self, connection: ClientConnection) -> None:
         """Unregister a connection that has been closed."""
         self.table.remove(connection)
+        self._pressure.connection_closed(connection)
+
+    def buffer_changed(self, connection: ClientConnection) -> None:
+        """Record how much a connection buffers, and stop reading it if that is too much."""
+        self._pressure.buffer_changed(connection)
+
+    def is_short_of_memory(self) -> bool:
+        """Return whether the data of all connections takes more memory than it may."""
+        return self._pressure.exists()
 
     def change_state(self, connection: ClientConnection, state: ConnectionState) -> None:
         """Change the state of a connection."""
--- a/sidecar/proxy/incremental_parser.py
+++ b/sidecar/proxy/incremental_parser.py
@@ -49,6 +49,11 @@
         data, _ = self.connection.trailing_data
         return data + self._pending
 
+    @property
+    def buffered_bytes(self) -> int:
+        """The size of the received data that is not part of the events so far."""
+        return len(self.connection.trailing_data[0]) + len(self._pending)
+
     def event_limit(self, max_events: int | None) -> int:
         """Return `max_events`; if that is None, how many more events may be parsed without a turn."""
         if max_events is None:
--- a/sidecar/proxy/request_errors.py
+++ b/sidecar/proxy/request_errors.py
@@ -130,6 +130,15 @@
         super().__init__("the body is too large")
 
 
+class MemoryShortageError(RequestError):
+    """The request is incomplete, and its data is needed by others."""
+
+    status = HTTPStatus.SERVICE_UNAVAILABLE
+
+    def __init__(self) -> None:
+        super().__init__("short of memory for incomplete requests")
+
+
 class InternalError(RequestError):
     """An unexpected error of this program; the request itself may be valid."""
 
--- a/sidecar/proxy/request_reader.py
+++ b/sidecar/proxy/request_reader.py
@@ -11,6 +11,7 @@
 from sidecar.proxy.request_errors import AmbiguousFramingError, BodyTooLargeError
 
 MAX_BODY_BYTES = 64 * 1024
+_HEADER_OVERHEAD_BYTES = 200  # memory that each parsed header takes beyond its text
 _FRAMING_HEADERS = (b"content-length", b"transfer-encoding")
 
 
@@ -55,7 +56,14 @@
         self._write = write
         self._parser = _new_parser()
         self._head: h11.Request | None = None
+        self._head_bytes = 0
         self._body = bytearray()
+        self._body_bytes = 0
+
+    @property
+    def buffered_bytes(self) -> int:
+        """The memory that the received data and the request take until the request is answered."""
+        return self._parser.buffered_bytes + self._head_bytes + self._body_bytes
 
     @property
     def unread(self) -> bytes:
@@ -113,6 +121,7 @@
     def discard_request(self) -> None:
         """Discard the request, which has been answered."""
         self._head, self._body = None, bytearray()
+        self._head_bytes = self._body_bytes = 0
 
     def discard_all(self) -> None:
         """Discard the request and all received data, as nothing more is read on the connection."""
@@ -128,10 +137,15 @@
 
     def _complete(self) -> ReceivedRequest:
         assert self._head is not None  # h11 emits it first
-        return ReceivedRequest(self._head, bytes(self._body))
+        request = ReceivedRequest(self._head, bytes(self._body))
+        self._body = bytearray()  # the request has the only copy
+        return request
 
     def _begin(self, head: h11.Request) -> None:
         self._head = head
+        self._head_bytes = sum(
+            len(name) + len(value) + _HEADER_OVERHEAD_BYTES for name, value in head.headers
+        )
         framing = {name: value for name, value in head.headers if name in _FRAMING_HEADERS}
         if b"transfer-encoding" in framing and (len(framing) > 1 or head.http_version != b"1.1"):
             raise AmbiguousFramingError
@@ -143,7 +157,8 @@
 
     def _add_body(self, data: bytes | bytearray) -> None:
         self._body += data
-        if len(self._body) > MAX_BODY_BYTES:
+        self._body_bytes += len(data)
+        if self._body_bytes > MAX_BODY_BYTES:
             raise BodyTooLargeError
 
 
--- a/sidecar/proxy/syntax_check.py
+++ b/sidecar/proxy/syntax_check.py
@@ -15,11 +15,10 @@
 
 MAX_HEADERS = 256
 _MAX_STATUS_LINE_BYTES = 8 * 1024  # matching it takes 200 times as much memory
-# None of these may occur in a line.  A CR at the end of the data may belong to a line break.
-_FORBIDDEN = re.compile(rb"[\x00\x0b\x0c]|\r(?=[^\n])")
+_FORBIDDEN_BYTES = (b"\x00", b"\x0b", b"\x0c")
 _LINE_BREAK = b"\r\n"
-_EMPTY_LINE = re.compile(rb"\r?\n")
-_SECTION_END = re.compile(rb"\n\r?\n")
+_EMPTY_LINES = (b"\n", _LINE_BREAK)
+_SECTION_ENDS = (b"\n\n", b"\n\r\n")
 _CHUNK_FOOTER = re.compile(rb"\r?\n?")  # the line break after a chunk; h11 may have consumed a part of it
 _LAST_CHUNK_SIZE = re.compile(rb"0+[; \t\r]")
 
@@ -98,17 +97,15 @@
 
     def _check_section(self, data: bytes) -> None:
         """Check a head or a trailer section, as far as it has been received."""
-        if _EMPTY_LINE.match(data):
+        if data.startswith(_EMPTY_LINES):
             return
-        found = _SECTION_END.search(data, max(self._checked_bytes - 2, 0))
-        end = found.end() if found else len(data)
-        if _FORBIDDEN.search(data, max(self._checked_bytes - 1, 0), end):
-            raise _MalformedLineError
-        if not found and data.count(b"\n") > MAX_HEADERS:
+        end = _find_section_end(data, max(self._checked_bytes - 2, 0))
+        _check_characters(data[max(self._checked_bytes - 1, 0) : end])
+        if end is None and data.count(b"\n") > MAX_HEADERS:
             raise _TooManyHeadersError
         if self._is_response and self._part is _Part.HEAD:
             _check_status_line(data)
-        self._checked_bytes = end
+        self._checked_bytes = len(data) if end is None else end
 
 
 class _MalformedLineError(h11.RemoteProtocolError):
@@ -137,6 +134,23 @@
     return any(name == b"transfer-encoding" for name, _ in head.headers)
 
 
+def _find_section_end(data: bytes, start: int) -> int | None:
+    """Return the position behind the empty line that ends a section; None: it has not been received."""
+    ends = [found + len(end) for end in _SECTION_ENDS if (found := data.find(end, start)) >= 0]
+    return min(ends, default=None)
+
+
+def _check_characters(lines: bytes) -> None:
+    """Check that lines contain none of the bytes that no line may contain.
+
+    Each CR has to belong to a line break; one at the end may still do so.
+    """
+    if any(byte in lines for byte in _FORBIDDEN_BYTES):
+        raise _MalformedLineError
+    if lines.count(b"\r") - lines.endswith(b"\r") != lines.count(_LINE_BREAK):
+        raise _MalformedLineError
+
+
 def _check_header_count(headers: Sequence[tuple[bytes, bytes]]) -> None:
     if len(headers) > MAX_HEADERS:
         raise _TooManyHeadersError
--- a/sidecar/reload.py
+++ b/sidecar/reload.py
@@ -1,7 +1,8 @@
 """Reloads the configuration while the sidecar runs: a new configuration is applied, or rejected as a whole.
 
 Settings and the discovery address take effect immediately.  Fields that are fixed at the start (`listen`,
-`seed` and `limits.sockets`) need a restart: a change to one of them is logged and otherwise ignored.
+`seed`, `limits.sockets` and `limits.memory_mb`) need a restart: a change to one of them is logged and
+otherwise ignored.
 """
 
 from __future__ import annotations
@@ -21,7 +22,8 @@
 # discovery address 4 s after SIGHUP.  The delays add up to 1.5 s and leave the rest for the first request to
 # that address.
 _RETRY_DELAYS_S = (0.1, 0.2, 0.4, 0.8)
-_RESTART_ONLY_FIELDS = ("listen", "seed", "sockets")  # fields of Config that are fixed at the start
+# Fields of Config that are fixed at the start.
+_RESTART_ONLY_FIELDS = ("listen", "seed", "sockets", "memory_mb")
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/configuration/test_configuration_file.py
+++ b/tests/configuration/test_configuration_file.py
@@ -35,6 +35,8 @@
         ({"seed": 7}, "seed: a string of hex digits is needed, not 7"),
         ({"version": 2.0}, "version: a whole number from 0 is needed, not 2.0"),
         ({"limits": {"sockets": 0}}, "limits.sockets: a whole number from 1 is needed, not 0"),
+        ({"limits": {"memory_mb": 0}}, "limits.memory_mb: a positive number is needed, not 0"),
+        ({"limits": {"memory_mb": "all"}}, "limits.memory_mb: a positive number is needed, not 'all'"),
         ({"known": {"index": 1}}, "known: endpoints: a list is needed"),
         ({"settings": None}, "settings: a mapping is needed"),
         (
--- a/tests/proxy/program_harness.py
+++ b/tests/proxy/program_harness.py
@@ -64,6 +64,7 @@
     *,
     is_up: bool = True,
     descriptors: int | None = None,
+    memory_mb: float | None = None,
     other_addresses: Sequence[str] = (),
 ) -> AsyncIterator[tuple[Any, Address]]:
     """Run the program until it is ready, with one server; discovery refuses connections unless `is_up`."""
@@ -80,7 +81,7 @@
     listen = reserved.address
     given = config(listen="{}:{}".format(*listen), discovery=discovery_address, known=known)
     if descriptors is not None:
-        given["limits"] = {"sockets": descriptors}
+        given["limits"] = {"sockets": descriptors, "memory_mb": memory_mb}
     process = await launch(tmp_path / "config.json", given, descriptors)
     try:
         async with asyncio.timeout(TIMEOUT_S):
--- a/tests/proxy/test_descriptor_shortage.py
+++ b/tests/proxy/test_descriptor_shortage.py
@@ -14,6 +14,7 @@
     wait_until,
 )
 
+from sidecar.proxy.buffer_budget import BufferBudget
 from sidecar.proxy.client_request import ClientRequest
 from sidecar.proxy.frontend import Frontend
 
@@ -51,7 +52,9 @@
             return self.real.fileno()
 
     async def scenario() -> None:
-        frontend = Frontend(("127.0.0.1", 0), 5, RespondingHandler(), settings(classes=CLASSES))
+        frontend = Frontend(
+            ("127.0.0.1", 0), 5, RespondingHandler(), settings(classes=CLASSES), BufferBudget(1_000_000)
+        )
         real = frontend._sock
         # The double implements the part of a socket that the frontend uses.
         frontend._sock = ListenerWithoutDescriptors(real)  # type: ignore[assignment]
--- /dev/null
+++ b/tests/proxy/test_memory_limit.py
@@ -0,0 +1,185 @@
+"""The memory of the program stays below its limit while clients send much and do not finish."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import resource
+from collections.abc import AsyncIterator, Callable, Iterator
+from pathlib import Path
+
+import pytest
+from balancer_harness import SECOND_US
+from program_harness import SETTINGS, running_program
+from proxy_harness import (
+    FakeServer,
+    Headers,
+    encode_response,
+    read_response,
+    request,
+    respond_ok,
+    run_scenario,
+    running_proxy,
+    send_request,
+    wait_until,
+)
+
+from sidecar.proxy import memory_pressure
+from sidecar.proxy.addresses import Address
+from sidecar.proxy.buffer_budget import BufferBudget
+
+LEAST_MEMORY_MB = 32  # the least limit that the platform sets
+LARGE = bytes(64 * 1024)
+SHORT_BODY_BYTES = 1000
+ROUNDS = 2  # how often each client sends
+
+
+def hundreds_of_fields() -> bytes:
+    """Return a request with 240 header lines, without the end of its body."""
+    head, end, body = request("pay", body=LARGE, budget="1.5").partition(b"\r\n\r\n")
+    lines = b"".join(b"\r\nx%d: %b" % (number, b"y" * 240) for number in range(240))
+    return head + lines + end + body[:-1]
+
+
+# What a client sends: at once, and then byte by byte.
+SENT: dict[str, tuple[bytes, bytes]] = {
+    "half a body": (request("pay", body=LARGE, budget="1.5")[:-1], b""),
+    "many fields": (hundreds_of_fields(), b""),
+    "slowly": (request("pay", body=LARGE, budget="1.5")[:-200], bytes(100)),
+    "complete": (request("pay", body=LARGE, budget="1.5"), b""),
+}
+
+
+@pytest.fixture(autouse=True)
+def _raised_descriptor_limit() -> Iterator[None]:
+    """Let this process open more descriptors than the program under test."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
+    yield
+    resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+
+
+def anonymous_memory_mb(process_id: int) -> float:
+    """Return the memory of a process that no file backs, in MiB."""
+    status = (Path("/proc") / str(process_id) / "status").read_text()
+    (line,) = [line for line in status.splitlines() if line.startswith("RssAnon")]
+    return int(line.split()[1]) / 1024
+
+
+async def send_and_wait(address: Address, at_once: bytes, bytewise: bytes) -> None:
+    """Send what never becomes a complete request, or is never answered, and wait for the end."""
+    with contextlib.suppress(OSError):
+        reader, writer = await asyncio.open_connection(*address)
+        closed = asyncio.create_task(reader.read())
+        writer.write(at_once)
+        for byte in bytewise:
+            if closed.done():
+                break
+            await asyncio.sleep(0.02)
+            writer.write(bytes([byte]))
+        await closed
+        writer.close()
+
+
+async def largest_memory_mb(process_id: int, until: Callable[[], bool]) -> float:
+    """Return the largest memory of a process, in MiB, that was seen until a condition held."""
+    largest = 0.0
+    while not until():
+        largest = max(largest, anonymous_memory_mb(process_id))
+        await asyncio.sleep(0.01)
+    return largest
+
+
+# Guards against a process that is killed while hundreds of clients write slowly or stop half way.
+@pytest.mark.parametrize(("descriptors", "clients"), [(256, 130), (1024, 480)])
+@pytest.mark.parametrize("sent", SENT.values(), ids=list(SENT))
+def test_memory_stays_below_the_least_limit(
+    sent: tuple[bytes, bytes], descriptors: int, clients: int, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    lanes = [lane | {"giveUpUs": 2 * SECOND_US} for lane in SETTINGS["lanes"]]
+    monkeypatch.setitem(SETTINGS, "lanes", lanes)
+
+    def respond_to_short(_line: str, _headers: Headers, body: bytes) -> bytes | None:
+        return encode_response(200, b"served") if len(body) < SHORT_BODY_BYTES else None
+
+    async def play_client(address: Address) -> None:
+        for _ in range(ROUNDS):
+            await send_and_wait(address, *sent)
+
+    async def scenario() -> None:
+        server = FakeServer("s-0", respond_to_short)
+        async with running_program(tmp_path, server, descriptors=descriptors, memory_mb=LEAST_MEMORY_MB) as (
+            process,
+            listen,
+        ):
+            tasks = [asyncio.create_task(play_client(listen)) for _ in range(clients)]
+            largest = await largest_memory_mb(process.pid, lambda: all(task.done() for task in tasks))
+            assert largest < LEAST_MEMORY_MB
+            assert process.returncode is None
+            assert (await send_request(listen, request("pay", X_Call_Id="last", budget="1.5")))[
+                2
+            ] == b"served"
+
+    run_scenario(scenario())
+
+
+@contextlib.asynccontextmanager
+async def proxy_short_of_memory(
+    monkeypatch: pytest.MonkeyPatch, holders: int
+) -> AsyncIterator[tuple[Address, list[asyncio.StreamReader]]]:
+    """Run a proxy whose budget for data is used up by incomplete requests."""
+    monkeypatch.setattr(BufferBudget, "for_memory_limit", lambda _: BufferBudget(holders * 50_000))
+    async with running_proxy(respond_ok) as proxy:
+        readers = []
+        for _ in range(holders):
+            reader, writer = await proxy.connect()
+            writer.write(request("pay", body=bytes(60_000))[:-1])
+            readers.append(reader)
+        table = proxy.sidecar.frontend
+        await wait_until(table.is_short_of_memory)
+        yield proxy.sidecar.frontend.address, readers
+
+
+def test_short_request_is_served_while_memory_is_short(monkeypatch: pytest.MonkeyPatch) -> None:
+    # The pressure must not end by itself before the request is sent.
+    monkeypatch.setattr(memory_pressure, "_MAX_INCOMPLETE_S", 600.0)
+
+    async def scenario() -> None:
+        async with proxy_short_of_memory(monkeypatch, holders=4) as (address, _):
+            for number in range(10):
+                assert (await send_request(address, request(X_Call_Id=f"{number}")))[0] == 200
+
+    run_scenario(scenario())
+
+
+def test_large_request_is_read_on_once_others_are_rejected(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def scenario() -> None:
+        async with proxy_short_of_memory(monkeypatch, holders=4) as (address, readers):
+            started_at = asyncio.get_running_loop().time()
+            data = request("pay", body=bytes(60_000), X_Call_Id="large", budget="500")
+            status, _, _ = await send_request(address, data)
+            # It is refused if it has waited for memory for too long itself; it never waits without end.
+            assert status in (200, 503)
+            assert asyncio.get_running_loop().time() < started_at + 10.0
+            statuses = [(await read_response(reader))[0] for reader in readers[:1]]
+            assert statuses == [503]
+
+    run_scenario(scenario())
+
+
+def test_budget_counts_what_each_holder_has_at_present() -> None:
+    budget = BufferBudget(100)
+    budget.record("a", 60)
+    budget.record("b", 40)
+    assert not budget.is_exceeded()
+    budget.record("b", 41)
+    assert budget.is_exceeded()
+    assert budget.bytes_of("b") == 41
+    budget.record("a", 0)
+    budget.record("a", 0)
+    assert (budget.used_bytes, budget.bytes_of("a")) == (41, 0)
+
+
+@pytest.mark.parametrize(("memory_mb", "max_mb"), [(32, 2), (80, 14), (192, 42), (1, 1)])
+def test_budget_leaves_memory_for_the_program(memory_mb: float, max_mb: int) -> None:
+    assert BufferBudget.for_memory_limit(memory_mb).max_bytes == max_mb * 1024 * 1024
