Read a pipelining client no faster than its requests are answered

Cause: requests that need no server are answered one in each iteration of the event loop, while each iteration reads 64 KiB more; the backlog is copied for each request. Ruled out: ever new ids, keys, classes, tenants, paths, single bytes, bytes that are no HTTP (all hold). Change: a backlog of 64 KiB pauses reading; each turn checks first whether the client has left.

--- a/sidecar/proxy/client_connection.py
+++ b/sidecar/proxy/client_connection.py
@@ -284,8 +284,12 @@
 
     def _read_next_request(self) -> None:
         """Read the next request from the data pipelined behind the answered one."""
+        self.resume_reading(PauseReason.BACKLOG)
         if self.is_closing() or self._request is not None or self._write_blocked:
             return
+        if self.is_disconnected():
+            self.abort()  # nobody waits for the responses to the requests that are left
+            return
         self._become_idle()
         self._read()
 
@@ -371,6 +375,8 @@
             self._owner.change_state(self, ConnectionState.DELIVERING)
             return
         self._become_idle()
+        if len(self._reader.unread) >= MAX_BODY_BYTES:
+            self.pause_reading(PauseReason.BACKLOG)  # a client may send faster than its requests are answered
         if self._reader.unread:
             asyncio.get_running_loop().call_soon(self._read_next_request)
 
--- a/sidecar/proxy/client_transport.py
+++ b/sidecar/proxy/client_transport.py
@@ -15,9 +15,11 @@
 
     Attributes:
         MEMORY: The data of all connections takes too much memory.
+        BACKLOG: The connection has complete requests that wait for their turn.
     """
 
     MEMORY = auto()
+    BACKLOG = auto()
 
 
 class ClientTransport(SharedBufferProtocol):
