--- a/sidecar/proxy/active_requests.py
+++ b/sidecar/proxy/active_requests.py
@@ -9,6 +9,7 @@
 
 from sidecar.proxy.client_request import ClientRequest
 from sidecar.proxy.exchange import Exchange
+from sidecar.proxy.request_ids import RequestIds
 from sidecar.settings import Idempotency
 
 
@@ -53,7 +54,7 @@
         self._numbers = itertools.count(1)
         self._by_number: dict[int, ActiveRequest] = {}
         self._unanswered: dict[ClientRequest, ActiveRequest] = {}
-        self._ids_in_use: set[str] = set()
+        self._ids = RequestIds()
 
     def __len__(self) -> int:
         return len(self._by_number)
@@ -66,7 +67,7 @@
         request = ActiveRequest(next(self._numbers), client_request, deadline_us)
         self._by_number[request.number] = request
         self._unanswered[client_request] = request
-        self._ids_in_use.add(client_request.request_id)
+        self._ids.add(client_request.request_id)
         return request
 
     def get(self, number: int | None) -> ActiveRequest | None:
@@ -79,7 +80,7 @@
 
     def is_id_in_use(self, request_id: str) -> bool:
         """Return whether a request with this id is in progress, or may have been executed recently."""
-        return request_id in self._ids_in_use
+        return request_id in self._ids
 
     def pop_unanswered(self, client_request: ClientRequest) -> ActiveRequest | None:
         """Remove a request from the unanswered ones; return it, or None if it was not among them."""
@@ -92,16 +93,15 @@
             self._release_id(request)
 
     def _release_id(self, request: ActiveRequest) -> None:
-        """Allow the id of a request to be reused.
+        """Allow the id of a request to be reused, unless it may have been executed and is not safe to repeat.
 
-        The id of a request that may have been executed and is not safe to repeat stays in use until the
-        client has given up.  A client whose connection broke before the response arrived may send the same
-        request again, which must not be executed a second time.
+        A client whose connection broke before the response arrived may send the same request again, which
+        must not be executed a second time.
         """
         service_class = request.client_request.service_class
         request_id = request.client_request.request_id
         if request.started_attempts and service_class.idempotency is not Idempotency.SAFE:
             client_timeout_s = service_class.deadline_us / 1e6
-            asyncio.get_running_loop().call_later(client_timeout_s, self._ids_in_use.discard, request_id)
+            self._ids.release_executed(request_id, client_timeout_s)
         else:
-            self._ids_in_use.discard(request_id)
+            self._ids.release(request_id)
