Time the result of a registry call in the rig, and double its new signature in a test

Cause: moved the parsing of registry responses; the rig wrapped a method that is gone, and a double of DiscoveryClient._call still returned an unparsed response (test_migration_as_the_former_registry_responds failed, and left test_every_action_of_the_balancer_is_carried_out with an error of the interpreter). Change: the rig wraps RegistryCall.result; the double returns a parsed response. The assertions are as they were. Measured: both tests and tests/scale/test_latency.py pass.

--- a/scale/latency/traced_sidecar.py
+++ b/scale/latency/traced_sidecar.py
@@ -16,8 +16,8 @@
 from scale.latency.experiment import Collector
 from scale.latency.tracing import Tracer
 from sidecar import __main__ as program
-from sidecar.proxy.discovery_client import DiscoveryClient
 from sidecar.proxy.endpoint_list import EndpointList
+from sidecar.proxy.registry_call import RegistryCall
 
 _COLLECTION_DISABLED = (0, 1, 1)  # a first threshold of 0 disables collection
 
@@ -32,10 +32,9 @@
 
 def trace_registry(tracer: Tracer) -> None:
     """Time the parsing and the applying of registry responses."""
-    client_members, list_members = vars(DiscoveryClient), vars(EndpointList)
-    timed_parse = tracer.registry.timed(client_members["_parse"].__func__)
-    timed_apply = tracer.registry.timed(list_members["apply"])
-    type.__setattr__(DiscoveryClient, "_parse", staticmethod(timed_parse))
+    timed_result = tracer.registry.timed(vars(RegistryCall)["result"])
+    timed_apply = tracer.registry.timed(vars(EndpointList)["apply"])
+    type.__setattr__(RegistryCall, "result", timed_result)
     type.__setattr__(EndpointList, "apply", timed_apply)
 
 
--- a/tests/proxy/test_endpoint_list_races.py
+++ b/tests/proxy/test_endpoint_list_races.py
@@ -22,7 +22,6 @@
 from sidecar.proxy.connection_pool import ConnectionPool
 from sidecar.proxy.discovery_client import DiscoveryClient
 from sidecar.proxy.exchange import EncodedRequest
-from sidecar.proxy.http_messages import Response
 from sidecar.proxy.registry_messages import RegistryResponse, parse_registry_response
 
 
@@ -94,9 +93,9 @@
 def test_migration_as_the_former_registry_responds(monkeypatch: pytest.MonkeyPatch) -> None:
     async def scenario() -> None:
         responses: list[RegistryResponse | None] = []
-        calls: list[tuple[Address, str, asyncio.Future[Response]]] = []
+        calls: list[tuple[Address, str, asyncio.Future[RegistryResponse]]] = []
 
-        async def call(self: DiscoveryClient, target: str, _: asyncio.Timeout) -> Response:
+        async def call(self: DiscoveryClient, target: str, _timeout_s: float) -> RegistryResponse:
             calls.append((self._address, target, asyncio.get_running_loop().create_future()))
             return await calls[-1][2]
 
@@ -104,12 +103,12 @@
         discovery = DiscoveryClient(("127.0.0.1", 1), 41, responses.append)
         discovery.start_watch()
         await wait_until(lambda: calls)
-        calls[0][2].set_result(Response(200, [], b'{"index": 99, "snapshot": true, "endpoints": []}'))
+        calls[0][2].set_result(RegistryResponse(99, True, []))
         discovery.migrate(("127.0.0.1", 2))  # before the task of the watch runs
         await wait_until(lambda: len(calls) == 2)
         assert responses == []
         assert calls[1][:2] == (("127.0.0.1", 2), "/registry/instances")
-        calls[1][2].set_result(Response(200, [], b'{"index": 7, "snapshot": true, "endpoints": []}'))
+        calls[1][2].set_result(RegistryResponse(7, True, []))
         await wait_until(lambda: len(calls) == 3)
         assert [response and response.version for response in responses] == [7]
         assert calls[2][1].startswith("/registry/instances?after=7&")
