--- a/sidecar/proxy/client_connection.py
+++ b/sidecar/proxy/client_connection.py
@@ -189,10 +189,8 @@
 
     def reject_incomplete(self) -> None:
         """Reject a request that has not been received completely, to free the memory of its data."""
-        if self.is_closing():
-            self._discard_received()
-            return
         self._reject(MemoryShortageError())
+        self._discard_received()  # also if the connection is closing already
         self.resume_reading(PauseReason.MEMORY)  # what still arrives is discarded
 
     # -- Reading --------------------------------------------------------------------------------------
@@ -307,8 +305,7 @@
         self.resume_reading(PauseReason.MEMORY)  # a close must not go unnoticed
         is_large = self.buffered_bytes >= PRESSURE_READ_BYTES
         shed_load = self._shed_load or (is_large and self._owner.is_short_of_memory())
-        owner = self._owner
-        routed = route_request(received, owner.handler, owner.settings, self, shed_load=shed_load)
+        routed = route_request(received, self._owner.handler, self._owner.settings, self, shed_load=shed_load)
         if isinstance(routed, ImmediateResponse):
             self.respond(routed.status, routed.headers, b"", close=routed.close)
         else:
