Turn collection off before the rig's trace starts, not when the program has been configured

Cause: the trace recorded collections from its start, the program set the thresholds of collector = "off" only after it had read its configuration. At the start of the trace 526 objects were counted towards 700, 667 after a configuration without servers; a longer one, or the first import in a fresh clone, makes it 700. Ruled out: a collection by the program itself (it calls none), the threshold of 0 (stops all). Change: thresholds are set at once and before the trace starts. Measured: the new test fails without the change; tests/scale/test_latency.py passes.

--- a/scale/latency/traced_sidecar.py
+++ b/scale/latency/traced_sidecar.py
@@ -23,11 +23,12 @@
 
 
 def set_collector(collector: Collector) -> None:
-    """Replace the collection thresholds that the program is going to set."""
+    """Replace the collection thresholds that the program is going to set; turn collection off at once."""
     if collector is Collector.DEFAULT:
         program.GC_THRESHOLDS = gc.get_threshold()
     elif collector is Collector.OFF:
         program.GC_THRESHOLDS = _COLLECTION_DISABLED
+        gc.set_threshold(*_COLLECTION_DISABLED)  # the program sets its own only after it has been configured
 
 
 def trace_registry(tracer: Tracer) -> None:
@@ -43,10 +44,10 @@
     collector: Annotated[Collector, typer.Option(help="Garbage collection thresholds.")] = Collector.PROGRAM,
 ) -> None:
     """Run one sidecar until SIGTERM."""
+    set_collector(collector)
     tracer = Tracer()
     tracer.trace_event_loop()
     trace_registry(tracer)
-    set_collector(collector)
     exit_code = program.main()
     tracer.write(trace)
     sys.exit(exit_code)
--- a/tests/scale/test_latency.py
+++ b/tests/scale/test_latency.py
@@ -19,10 +19,12 @@
 from scale.http_client import NO_RESPONSE, CallResult
 from scale.kinds import load_experiment, run_experiment
 from scale.latency.analysis import ServedCall, attribute_overhead, pair_calls, parse_served_call
-from scale.latency.experiment import LatencyExperiment
+from scale.latency.experiment import Collector, LatencyExperiment
+from scale.latency.traced_sidecar import set_collector
 from scale.latency.tracing import BusyTime, Trace, Tracer
 from scale.results import Measurement, ResultWriter, read_results
 from scale.standins.server import ServedBody
+from sidecar import __main__ as program
 
 TIMEOUT_S = 60.0
 EXPERIMENTS = Path(__file__).resolve().parents[2] / "scale" / "experiments"
@@ -159,6 +161,18 @@
     return {each.metric: each.value for each in measurements if each.labels["servers"] == servers}
 
 
+# Guards against a collection between the start of the trace and the program's own thresholds.
+def test_collection_is_off_before_the_program_starts(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(program, "GC_THRESHOLDS", program.GC_THRESHOLDS)
+    thresholds = gc.get_threshold()
+    try:
+        set_collector(Collector.OFF)
+        assert gc.get_threshold()[0] == 0
+        assert program.GC_THRESHOLDS[0] == 0
+    finally:
+        gc.set_threshold(*thresholds)
+
+
 def test_small_experiment_counts_its_calls(tmp_path: Path) -> None:
     experiment = load_experiment(EXPERIMENTS / "latency-small.toml")
     with ResultWriter(tmp_path / "results.jsonl", experiment, commit="abc") as writer:
