Check lines and count data with fewer steps for small requests

Change: a head is searched for transfer-encoding before its headers are walked; its size is taken from the check; a request of 1 KiB at most that was complete at once is not counted. Tests of parsing, memory, floods and pipelining pass.

--- a/sidecar/proxy/client_connection.py
+++ b/sidecar/proxy/client_connection.py
@@ -37,6 +37,7 @@
 # Limit of the data that is read and discarded after a rejected request, or when a client pipelines too much.
 # If it stayed unread, closing the connection would reset it, and the client might lose the response.
 _MAX_DISCARDED_BYTES = 128 * MAX_BODY_BYTES
+_NEGLIGIBLE_BYTES = 1024  # a request of this size that was complete at once is not accounted
 
 
 class ClientConnection(ClientTransport):
@@ -65,6 +66,7 @@
         self._reader = RequestReader(self._write)
         self._lookahead: RequestLookahead | None = None  # None until data is pipelined
         self._request: ClientRequest | None = None  # the request in flight
+        self._is_accounted = False
         self._discarded_bytes: int | None = None  # discarded so far; None while data is parsed
 
     # -- asyncio protocol -----------------------------------------------------------------------------
@@ -105,7 +107,9 @@
             self._discard(len(data))
         else:
             self._receive(data)
-            self._owner.buffer_changed(self)
+            is_complete = self.state is ConnectionState.IN_FLIGHT and self._lookahead is None
+            if not is_complete or len(data) > _NEGLIGIBLE_BYTES:
+                self._account_buffer()
 
     def _receive(self, data: bytes) -> None:
         if self._request is None and has_peer_closed(self._sock):
@@ -128,28 +132,19 @@
     def resume_writing(self) -> None:
         """Continue now that the response has been fully written; called by the transport."""
         self._write_blocked = False
-        self._owner.buffer_changed(self)
+        self._account_buffer()
         if self._request is None and self._discarded_bytes is None:
             self._read_next_request()
         elif self._request is None:
             self._half_close()
 
     def parse_deferred(self, max_events: int) -> bool:
-        """Continue to look ahead; called by the parsing queue.
-
-        Args:
-            max_events: How many events to parse at most.
-
-        Returns:
-            Whether other data can be parsed now.
-        """
+        """Look ahead by at most this number of events; return whether others can be parsed now."""
         if self._request is None or self._lookahead is None or self._discarded_bytes is not None:
             return False
         self._look_ahead(self._lookahead, max_events)
         return self._lookahead.has_backlog
 
-    # -- State ----------------------------------------------------------------------------------------
-
     def has_partial_request(self) -> bool:
         """Return whether part of a request without a response has been read."""
         return self._reader.has_partial_request()
@@ -183,6 +178,10 @@
         elif self.state is not ConnectionState.IDLE and not self.has_unread_data():
             self._reject(RequestTimeoutError())
 
+    def _account_buffer(self) -> None:
+        self._owner.buffer_changed(self)
+        self._is_accounted = self.buffered_bytes > 0
+
     def is_incomplete(self) -> bool:
         """Return whether a part of a request has been received, and no request is in flight."""
         return self.state is ConnectionState.READING and self.has_partial_request()
@@ -303,8 +302,8 @@
         """Answer a request directly or dispatch it to the handler."""
         self._owner.change_state(self, ConnectionState.IN_FLIGHT)
         self.resume_reading(PauseReason.MEMORY)  # a close must not go unnoticed
-        is_large = self.buffered_bytes >= PRESSURE_READ_BYTES
-        shed_load = self._shed_load or (is_large and self._owner.is_short_of_memory())
+        lacks_memory = self._owner.is_short_of_memory() and self.buffered_bytes >= PRESSURE_READ_BYTES
+        shed_load = self._shed_load or lacks_memory
         routed = route_request(received, self._owner.handler, self._owner.settings, self, shed_load=shed_load)
         if isinstance(routed, ImmediateResponse):
             self.respond(routed.status, routed.headers, b"", close=routed.close)
@@ -333,8 +332,7 @@
         """Reject the request and close the connection; anything else that the client sends is discarded."""
         log.info("request rejected: %s", error)
         self._abandon_request()
-        headers = [(b"Content-Type", b"text/plain")]
-        self.respond(error.status, headers, f"{error}\n".encode(), close=True)
+        self.respond(error.status, [(b"Content-Type", b"text/plain")], f"{error}\n".encode(), close=True)
 
     def _fail_in_flight(self) -> None:
         """Fail the request in flight and close the connection because of invalid data pipelined behind it."""
@@ -357,7 +355,8 @@
             self._half_close()
         else:
             self._keep_alive()
-        self._owner.buffer_changed(self)
+        if self._is_accounted or self._write_blocked:
+            self._account_buffer()
 
     def _must_close(self) -> bool:
         """Return whether the connection has to be closed after the current response."""
--- a/sidecar/proxy/request_reader.py
+++ b/sidecar/proxy/request_reader.py
@@ -143,9 +143,7 @@
 
     def _begin(self, head: h11.Request) -> None:
         self._head = head
-        self._head_bytes = sum(
-            len(name) + len(value) + _HEADER_OVERHEAD_BYTES for name, value in head.headers
-        )
+        self._head_bytes = self._parser.head_bytes + len(head.headers) * _HEADER_OVERHEAD_BYTES
         framing = {name: value for name, value in head.headers if name in _FRAMING_HEADERS}
         if b"transfer-encoding" in framing and (len(framing) > 1 or head.http_version != b"1.1"):
             raise AmbiguousFramingError
--- a/sidecar/proxy/syntax_check.py
+++ b/sidecar/proxy/syntax_check.py
@@ -8,17 +8,20 @@
 from __future__ import annotations
 
 import re
-from collections.abc import Sequence
 from enum import Enum, auto
 
 import h11
 
 MAX_HEADERS = 256
+_HEADS = (h11.Request, h11.Response)
+_EVENTS_WITH_HEADERS = (*_HEADS, h11.InformationalResponse, h11.EndOfMessage)
 _MAX_STATUS_LINE_BYTES = 8 * 1024  # matching it takes 200 times as much memory
-_FORBIDDEN_BYTES = (b"\x00", b"\x0b", b"\x0c")
+_FORBIDDEN_BYTES = b"\x00\x0b\x0c"
 _LINE_BREAK = b"\r\n"
 _EMPTY_LINES = (b"\n", _LINE_BREAK)
-_SECTION_ENDS = (b"\n\n", b"\n\r\n")
+_SECTION_END = b"\n\r\n"
+_SHORTER_SECTION_END = b"\n\n"
+_TRANSFER_ENCODING = b"transfer-encoding"
 _CHUNK_FOOTER = re.compile(rb"\r?\n?")  # the line break after a chunk; h11 may have consumed a part of it
 _LAST_CHUNK_SIZE = re.compile(rb"0+[; \t\r]")
 
@@ -33,7 +36,11 @@
 
 
 class SyntaxCheck:
-    """Checks the lines of one message; it has to see all data that h11 holds before h11 parses it."""
+    """Checks the lines of one message; it has to see all data that h11 holds before h11 parses it.
+
+    Attributes:
+        head_bytes: The size of the head, once it is complete.
+    """
 
     def __init__(self, our_role: type[h11.CLIENT | h11.SERVER]) -> None:
         """Create the check of a message that begins with its head.
@@ -44,6 +51,8 @@
         self._is_response = our_role is h11.CLIENT
         self._part = _Part.HEAD
         self._checked_bytes = 0  # of the section that h11 holds until it is complete
+        self.head_bytes = 0
+        self._names_transfer_encoding = False  # looked for in the text, as few messages have this header
 
     @property
     def is_due(self) -> bool:
@@ -70,13 +79,15 @@
         self._checked_bytes = 0
         if isinstance(event, h11.Data):
             self._part = _Part.CHUNK_HEADER if event.chunk_end else _Part.CONTENT
-        elif isinstance(event, h11.InformationalResponse):
-            _check_header_count(event.headers)
-        elif isinstance(event, h11.Request | h11.Response):
-            _check_header_count(event.headers)
-            self._part = _Part.CHUNK_HEADER if is_chunked(event) else _Part.CONTENT
+            return
+        if not isinstance(event, _EVENTS_WITH_HEADERS):
+            return
+        if len(event.headers) > MAX_HEADERS:
+            raise _TooManyHeadersError
+        if isinstance(event, _HEADS):
+            is_body_in_chunks = self._names_transfer_encoding and is_chunked(event)
+            self._part = _Part.CHUNK_HEADER if is_body_in_chunks else _Part.CONTENT
         elif isinstance(event, h11.EndOfMessage):
-            _check_header_count(event.headers)
             self._part = _Part.CONTENT
 
     def _check_chunk_header(self, data: bytes) -> None:
@@ -106,6 +117,9 @@
         if self._is_response and self._part is _Part.HEAD:
             _check_status_line(data)
         self._checked_bytes = len(data) if end is None else end
+        if end is not None and self._part is _Part.HEAD:
+            self.head_bytes = end
+            self._names_transfer_encoding = _TRANSFER_ENCODING in data[:end].lower()
 
 
 class _MalformedLineError(h11.RemoteProtocolError):
@@ -136,8 +150,10 @@
 
 def _find_section_end(data: bytes, start: int) -> int | None:
     """Return the position behind the empty line that ends a section; None: it has not been received."""
-    ends = [found + len(end) for end in _SECTION_ENDS if (found := data.find(end, start)) >= 0]
-    return min(ends, default=None)
+    end, shorter_end = data.find(_SECTION_END, start), data.find(_SHORTER_SECTION_END, start)
+    if shorter_end >= 0 and (end < 0 or shorter_end < end):
+        return shorter_end + len(_SHORTER_SECTION_END)
+    return end + len(_SECTION_END) if end >= 0 else None
 
 
 def _check_characters(lines: bytes) -> None:
@@ -145,17 +161,12 @@
 
     Each CR has to belong to a line break; one at the end may still do so.
     """
-    if any(byte in lines for byte in _FORBIDDEN_BYTES):
+    if len(lines.translate(None, _FORBIDDEN_BYTES)) != len(lines):
         raise _MalformedLineError
     if lines.count(b"\r") - lines.endswith(b"\r") != lines.count(_LINE_BREAK):
         raise _MalformedLineError
 
 
-def _check_header_count(headers: Sequence[tuple[bytes, bytes]]) -> None:
-    if len(headers) > MAX_HEADERS:
-        raise _TooManyHeadersError
-
-
 def _check_status_line(data: bytes) -> None:
     if len(data) > _MAX_STATUS_LINE_BYTES and data.find(b"\n", 0, _MAX_STATUS_LINE_BYTES + 1) < 0:
         raise _StatusLineTooLongError
