Start without OpenSSL, which took 4 MB of each process

Cause: asyncio imports ssl where it finds it; the sidecar speaks plain TCP only, as its pages say. The module and its libraries take 4.3 MB of RSS (3.1 MB of files), nearly half of what 32 MB leave beside the program. Change: ssl is kept out before asyncio is imported, which asyncio supports. The test fails without the change.

--- a/sidecar/__main__.py
+++ b/sidecar/__main__.py
@@ -7,6 +7,9 @@
 
 from __future__ import annotations
 
+import sidecar.without_tls  # noqa: F401  # before asyncio
+
+# isort: split
 import asyncio
 import gc
 import os
--- a/tests/proxy/test_process_size.py
+++ b/tests/proxy/test_process_size.py
@@ -6,6 +6,8 @@
 import os
 import resource
 import socket
+import subprocess
+import sys
 from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
@@ -127,3 +129,9 @@
             assert int(peak_line.split()[1]) < 32 * 1024  # kB
 
     run_scenario(scenario())
+
+
+# Guards against 4 MB of memory for OpenSSL, which nothing here uses.
+def test_program_does_not_load_openssl() -> None:
+    code = "import sidecar.__main__, sys; sys.exit('_ssl' in sys.modules)"
+    assert subprocess.run([sys.executable, "-c", code], check=False).returncode == 0
