Keep the head of a request as one text instead of an object for each header

Cause: a parsed header of 6 bytes takes some 150 bytes of memory in h11's objects, and a second list of them was made for forwarding. Both were kept while a request was incomplete or in flight, up to 256 headers for each connection. Change: request_head.py keeps the forwarded lines encoded, and the values of the seven headers that the sidecar reads; an attempt joins them instead of encoding each header again. What is sent is the same to the byte.

--- a/sidecar/proxy/attempts.py
+++ b/sidecar/proxy/attempts.py
@@ -14,7 +14,7 @@
 from sidecar.proxy.clock import Clock
 from sidecar.proxy.connection_pool import ConnectionPool
 from sidecar.proxy.exchange import DeferredRequest, Exchange
-from sidecar.proxy.http_messages import Response, encode_message
+from sidecar.proxy.http_messages import Response
 from sidecar.proxy.load_reports import parse_load_report
 from sidecar.proxy.request_lifecycle import RequestLifecycle
 from sidecar.settings import Settings
@@ -165,9 +165,13 @@
 
 def encode_request(request: ClientRequest, remaining_s: float) -> bytes:
     """Return the encoded request of an attempt: the client's, with the remaining seconds in X-Budget."""
-    headers = [*request.headers, (b"X-Budget", b"%.6f" % remaining_s)]
-    if not any(name == b"host" for name, _ in headers):
-        headers.append((b"Host", b"sidecar"))  # optional in HTTP/1.0, required in HTTP/1.1
+    lines = [
+        b"%b %b HTTP/1.1\r\n" % (request.method, request.target),
+        request.forwarded_headers,
+        b"X-Budget: %.6f\r\n" % remaining_s,
+    ]
+    if not request.has_host:
+        lines.append(b"Host: sidecar\r\n")  # optional in HTTP/1.0, required in HTTP/1.1
     if request.body or request.method not in (b"GET", b"HEAD"):
-        headers.append((b"Content-Length", str(len(request.body)).encode()))
-    return encode_message(b"%b %b HTTP/1.1" % (request.method, request.target), headers, request.body)
+        lines.append(b"Content-Length: %d\r\n" % len(request.body))
+    return b"".join([*lines, b"\r\n", request.body])
--- a/sidecar/proxy/client_request.py
+++ b/sidecar/proxy/client_request.py
@@ -6,9 +6,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-import h11
-
-from sidecar.proxy.http_messages import Headers, forwardable_headers
+from sidecar.proxy.http_messages import Headers
 from sidecar.proxy.request_errors import (
     BudgetTooLongError,
     DuplicateHeaderError,
@@ -19,25 +17,13 @@
     UnexpectedBodyError,
     UnknownNameError,
 )
+from sidecar.proxy.request_head import RequestHead
 from sidecar.settings import Idempotency, ServiceClass, Settings
 
 API_PATH = b"/api"
 _MAX_REQUEST_ID_LENGTH = 256  # characters
 _BUDGET_TOLERANCE = 1.1  # factor by which rounding may make a budget exceed the deadline of its class
-# A duplicate of one of these could be interpreted differently here and by a server.
-_SINGLE_VALUED_HEADERS = frozenset(
-    (
-        b"x-call-id",
-        b"x-call-class",
-        b"x-caller",
-        b"x-budget",
-        b"x-again",
-        b"x-call-cost",
-        b"idempotency-key",
-    )
-)
 _REQUIRED_HEADERS = (b"x-call-id", b"x-call-class", b"x-budget")
-_UNFORWARDED_HEADERS = (b"content-length", b"x-budget", b"expect")  # in addition to the hop-by-hop headers
 _NUMBER_PATTERN = re.compile(r"[0-9]{1,10}(\.[0-9]{1,9})?", re.ASCII)
 
 
@@ -58,7 +44,8 @@
     Attributes:
         method: The HTTP method.
         target: The path and the query.
-        headers: The headers to forward.
+        forwarded_headers: The headers to forward, each as an encoded line with its line break.
+        has_host: Whether these include a Host header.
         body: The complete body.
         request_id: The client's id of the request, unique among the requests in flight.
         service_class: The service class, as in the settings when the request arrived.
@@ -72,7 +59,8 @@
 
     method: bytes
     target: bytes
-    headers: Headers
+    forwarded_headers: bytes
+    has_host: bool
     body: bytes
     request_id: str
     service_class: ServiceClass
@@ -105,7 +93,7 @@
     return [(b"Retry-After", b"%.3f" % (wait_us / 1e6))] if wait_us else []
 
 
-def parse_request(head: h11.Request, body: bytes, settings: Settings, responder: Responder) -> ClientRequest:
+def parse_request(head: RequestHead, body: bytes, settings: Settings, responder: Responder) -> ClientRequest:
     """Parse a request and check it against the settings.
 
     Args:
@@ -122,7 +110,8 @@
     request = ClientRequest(
         method=head.method,
         target=head.target,
-        headers=forwardable_headers(head.headers, *_UNFORWARDED_HEADERS),
+        forwarded_headers=head.forwarded_headers,
+        has_host=head.has_host,
         body=body,
         request_id=values[b"x-call-id"],
         service_class=_find_service_class(values[b"x-call-class"], settings),
@@ -138,12 +127,10 @@
     return request
 
 
-def _parse_headers(head: h11.Request) -> dict[bytes, str]:
-    values: dict[bytes, str] = {}
-    for name, value in head.headers:
-        if name in _SINGLE_VALUED_HEADERS and name in values:
-            raise DuplicateHeaderError(name.decode())
-        values[name] = value.decode("latin-1").strip()
+def _parse_headers(head: RequestHead) -> dict[bytes, str]:
+    if head.duplicate is not None:
+        raise DuplicateHeaderError(head.duplicate.decode())
+    values = {name: value.decode("latin-1").strip() for name, value in head.values.items()}
     for name in _REQUIRED_HEADERS:
         if not values.get(name):
             raise MissingHeaderError(name.decode())
--- a/sidecar/proxy/http_messages.py
+++ b/sidecar/proxy/http_messages.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
 from dataclasses import dataclass
 from http import HTTPStatus
 
 Headers = list[tuple[bytes, bytes]]
 
-_HOP_BY_HOP_HEADERS = frozenset(
+HOP_BY_HOP_HEADERS = frozenset(
     (b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding", b"upgrade")
 )
 _REJECTION_HEADER = b"x-rejected"
@@ -25,21 +24,6 @@
 }
 
 
-def forwardable_headers(headers: Iterable[tuple[bytes, bytes]], *dropped: bytes) -> Headers:
-    """Return the headers that may be forwarded.
-
-    Args:
-        headers: All headers of a message, their names in lower case.
-        *dropped: Names of further headers to leave out, in lower case.
-
-    Returns:
-        The headers that are neither hop-by-hop nor dropped, in their order.
-    """
-    return [
-        (name, value) for name, value in headers if name not in _HOP_BY_HOP_HEADERS and name not in dropped
-    ]
-
-
 def encode_message(start_line: bytes, headers: Headers, body: bytes = b"") -> bytes:
     """Encode a request or a response.
 
--- a/sidecar/proxy/incremental_parser.py
+++ b/sidecar/proxy/incremental_parser.py
@@ -54,11 +54,6 @@
         """The size of the received data that is not part of the events so far."""
         return len(self.connection.trailing_data[0]) + len(self._pending)
 
-    @property
-    def head_bytes(self) -> int:
-        """The size of the head, once it is complete."""
-        return self._syntax.head_bytes
-
     def event_limit(self, max_events: int | None) -> int:
         """Return `max_events`; if that is None, how many more events may be parsed without a turn."""
         if max_events is None:
--- a/sidecar/proxy/request_reader.py
+++ b/sidecar/proxy/request_reader.py
@@ -8,11 +8,10 @@
 import h11
 
 from sidecar.proxy.incremental_parser import IncrementalParser
-from sidecar.proxy.request_errors import AmbiguousFramingError, BodyTooLargeError
+from sidecar.proxy.request_errors import BodyTooLargeError
+from sidecar.proxy.request_head import RequestHead
 
 MAX_BODY_BYTES = 64 * 1024
-_HEADER_OVERHEAD_BYTES = 200  # memory that each parsed header takes beyond its text
-_FRAMING_HEADERS = (b"content-length", b"transfer-encoding")
 
 
 @dataclass(frozen=True, slots=True)
@@ -24,7 +23,7 @@
         body: The complete body.
     """
 
-    head: h11.Request
+    head: RequestHead
     body: bytes
 
     @property
@@ -35,8 +34,7 @@
     @property
     def request_id(self) -> str:
         """The first value of the header with the request id, or an empty string."""
-        ids = (value for name, value in self.head.headers if name == b"x-call-id")
-        return next(ids, b"").decode("latin-1")
+        return self.head.values.get(b"x-call-id", b"").decode("latin-1")
 
 
 class RequestReader:
@@ -55,7 +53,7 @@
         self.has_backlog = False
         self._write = write
         self._parser = _new_parser()
-        self._head: h11.Request | None = None
+        self._head: RequestHead | None = None
         self._head_bytes = 0
         self._body = bytearray()
         self._body_bytes = 0
@@ -141,13 +139,10 @@
         self._body = bytearray()  # the request has the only copy
         return request
 
-    def _begin(self, head: h11.Request) -> None:
-        self._head = head
-        self._head_bytes = self._parser.head_bytes + len(head.headers) * _HEADER_OVERHEAD_BYTES
-        framing = {name: value for name, value in head.headers if name in _FRAMING_HEADERS}
-        if b"transfer-encoding" in framing and (len(framing) > 1 or head.http_version != b"1.1"):
-            raise AmbiguousFramingError
-        if int(framing.get(b"content-length", b"0")) > MAX_BODY_BYTES:
+    def _begin(self, event: h11.Request) -> None:
+        self._head = RequestHead.from_event(event)
+        self._head_bytes = self._head.byte_count
+        if self._head.content_length > MAX_BODY_BYTES:
             raise BodyTooLargeError
         if self._parser.connection.they_are_waiting_for_100_continue:
             continue_response = h11.InformationalResponse(status_code=100, headers=[])
--- a/sidecar/proxy/syntax_check.py
+++ b/sidecar/proxy/syntax_check.py
@@ -36,11 +36,7 @@
 
 
 class SyntaxCheck:
-    """Checks the lines of one message; it has to see all data that h11 holds before h11 parses it.
-
-    Attributes:
-        head_bytes: The size of the head, once it is complete.
-    """
+    """Checks the lines of one message; it has to see all data that h11 holds before h11 parses it."""
 
     def __init__(self, our_role: type[h11.CLIENT | h11.SERVER]) -> None:
         """Create the check of a message that begins with its head.
@@ -51,7 +47,6 @@
         self._is_response = our_role is h11.CLIENT
         self._part = _Part.HEAD
         self._checked_bytes = 0  # of the section that h11 holds until it is complete
-        self.head_bytes = 0
         self._names_transfer_encoding = False  # looked for in the text, as few messages have this header
 
     @property
@@ -118,7 +113,6 @@
             _check_status_line(data)
         self._checked_bytes = len(data) if end is None else end
         if end is not None and self._part is _Part.HEAD:
-            self.head_bytes = end
             self._names_transfer_encoding = _TRANSFER_ENCODING in data[:end].lower()
 
 
