--- a/sidecar/__main__.py
+++ b/sidecar/__main__.py
@@ -21,6 +21,7 @@
 from sidecar.logs import configure_logging
 from sidecar.proxy.driver import Sidecar
 from sidecar.proxy.event_loop import EventLoop
+from sidecar.proxy.memory_layout import DEFAULT_PROGRAM_BYTES, resident_bytes
 from sidecar.reload import Reloader, ReloadSignalHandler
 
 # An asyncio transport is part of a reference cycle, so the memory of a closed connection is freed only by a
@@ -44,7 +45,7 @@
     loop = asyncio.get_running_loop()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, stop.set)
-    sidecar = Sidecar(config)
+    sidecar = Sidecar(config, resident_bytes() or DEFAULT_PROGRAM_BYTES)
     handler = ReloadSignalHandler(Reloader(config, sidecar.reconfigure), _reread_config)
     loop.add_signal_handler(signal.SIGHUP, handler.handle_signal)
     await sidecar.run(stop)
--- a/sidecar/proxy/attempts.py
+++ b/sidecar/proxy/attempts.py
@@ -14,7 +14,7 @@
 from sidecar.proxy.clock import Clock
 from sidecar.proxy.connection_pool import ConnectionPool
 from sidecar.proxy.exchange import DeferredRequest, Exchange
-from sidecar.proxy.http_messages import Response
+from sidecar.proxy.http_messages import EncodedMessage, Response
 from sidecar.proxy.load_reports import parse_load_report
 from sidecar.proxy.request_lifecycle import RequestLifecycle
 from sidecar.settings import Settings
@@ -117,7 +117,7 @@
         if exchange is not None and attempt.request.has_other_attempt_started(attempt.number):
             self._pool.abandon_if_unwritten(exchange)
 
-    def _encode_if_wanted(self, attempt: Attempt, remaining_s: float) -> bytes | None:
+    def _encode_if_wanted(self, attempt: Attempt, remaining_s: float) -> EncodedMessage | None:
         """Return the encoded request of an attempt, or None if it must not be sent any more.
 
         A client that has closed its connection counts as disconnected even before the event loop has read the
@@ -163,7 +163,7 @@
         return parse_load_report(text, self.settings.report_columns)
 
 
-def encode_request(request: ClientRequest, remaining_s: float) -> bytes:
+def encode_request(request: ClientRequest, remaining_s: float) -> EncodedMessage:
     """Return the encoded request of an attempt: the client's, with the remaining seconds in X-Budget."""
     lines = [
         b"%b %b HTTP/1.1\r\n" % (request.method, request.target),
@@ -174,4 +174,5 @@
         lines.append(b"Host: sidecar\r\n")  # optional in HTTP/1.0, required in HTTP/1.1
     if request.body or request.method not in (b"GET", b"HEAD"):
         lines.append(b"Content-Length: %d\r\n" % len(request.body))
-    return b"".join([*lines, b"\r\n", request.body])
+    lines.append(b"\r\n")
+    return EncodedMessage(b"".join(lines), request.body)
--- a/sidecar/proxy/buffer_budget.py
+++ b/sidecar/proxy/buffer_budget.py
@@ -1,47 +1,64 @@
-"""Bounds the memory that the data of all client connections takes together."""
+"""Bounds the data that all connections buffer: how much a connection may read is known before it reads."""
 
 from __future__ import annotations
 
 from collections.abc import Hashable
+from enum import Enum, auto
 
-PRESSURE_READ_BYTES = 4 * 1024  # what a connection reads at once while memory is short; most requests fit
-_BYTES_PER_MB = 1024 * 1024
-_PROGRAM_MB = 24  # what the process needs before it has any connections
-_MIN_DATA_MB = 4  # the memory for data where the limit leaves less
-# How many bytes each buffered byte may take for a while: a request is copied when it is complete and when it
-# is encoded for a server, and buffers grow in steps.
-_MAX_COPIES = 4
+from sidecar.proxy.memory_layout import LEAST_SHARE_BYTES, REGISTRY_RESERVE_BYTES
+
+# Incomplete requests leave the rest of the pool to the responses that requests in flight wait for.
+_REQUEST_POOL_FRACTION = 0.75
+
+
+class DataPurpose(Enum):
+    """What data is buffered for, which decides how full the pool may be when it is read.
+
+    Attributes:
+        REQUEST: A client's request.
+        RESPONSE: A server's response.
+        REGISTRY: An endpoint list.
+    """
+
+    REQUEST = auto()
+    RESPONSE = auto()
+    REGISTRY = auto()
 
 
 class BufferBudget:
-    """Counts the bytes that each connection buffers, against a common limit.
+    """Counts the bytes that each connection buffers beyond its least share, against a common pool.
 
     Attributes:
-        max_bytes: The limit.
-        used_bytes: What all connections buffer.
+        pool_bytes: The size of the pool; may be changed at any time.
+        used_bytes: How much of it is used.
     """
 
-    def __init__(self, max_bytes: int) -> None:
-        self.max_bytes = max_bytes
+    def __init__(self, pool_bytes: int) -> None:
+        self.pool_bytes = pool_bytes
         self.used_bytes = 0
-        self._by_holder: dict[Hashable, int] = {}
-
-    @classmethod
-    def for_memory_limit(cls, memory_mb: float) -> BufferBudget:
-        """Return the budget of a process whose memory is limited to this number of MiB."""
-        data_mb = max(memory_mb - _PROGRAM_MB, _MIN_DATA_MB)
-        return cls(int(data_mb * _BYTES_PER_MB / _MAX_COPIES))
+        self._by_holder: dict[Hashable, int] = {}  # bytes beyond the least share
 
     def record(self, holder: Hashable, byte_count: int) -> None:
         """Set how many bytes a connection buffers."""
-        self.used_bytes += byte_count - self._by_holder.pop(holder, 0)
-        if byte_count:
-            self._by_holder[holder] = byte_count
+        beyond_share = byte_count - LEAST_SHARE_BYTES
+        if beyond_share > 0:
+            self.used_bytes += beyond_share - self._by_holder.get(holder, 0)
+            self._by_holder[holder] = beyond_share
+        elif holder in self._by_holder:
+            self.used_bytes -= self._by_holder.pop(holder)
 
-    def bytes_of(self, holder: Hashable) -> int:
-        """Return how many bytes a connection buffers."""
+    def pooled_bytes_of(self, holder: Hashable) -> int:
+        """Return how much of the pool a connection uses."""
         return self._by_holder.get(holder, 0)
 
-    def is_exceeded(self) -> bool:
-        """Return whether the connections buffer more than the limit."""
-        return self.used_bytes > self.max_bytes
+    def free_bytes(self, purpose: DataPurpose) -> int:
+        """Return how much more data of this purpose may be taken from the pool."""
+        return max(self.limit(purpose) - self.used_bytes, 0)
+
+    def limit(self, purpose: DataPurpose) -> int:
+        """Return how full the pool may be with data of this purpose."""
+        if purpose is DataPurpose.REQUEST:
+            return int(self.pool_bytes * _REQUEST_POOL_FRACTION)
+        if purpose is DataPurpose.RESPONSE:
+            return self.pool_bytes
+        return self.pool_bytes + REGISTRY_RESERVE_BYTES
--- a/sidecar/proxy/client_connection.py
+++ b/sidecar/proxy/client_connection.py
@@ -10,12 +10,13 @@
 import h11
 
 from sidecar.proxy.arrival_time import ArrivalTime
-from sidecar.proxy.buffer_budget import PRESSURE_READ_BYTES
+from sidecar.proxy.buffer_budget import DataPurpose
 from sidecar.proxy.client_request import ClientRequest
 from sidecar.proxy.client_transport import ClientTransport
 from sidecar.proxy.connection_owner import ConnectionOwner
 from sidecar.proxy.connection_state import ConnectionState
 from sidecar.proxy.http_messages import Headers, encode_response
+from sidecar.proxy.memory_layout import LEAST_SHARE_BYTES
 from sidecar.proxy.paced_reading import PacedReading
 from sidecar.proxy.parsing_queue import parsing_queue
 from sidecar.proxy.pause_reason import PauseReason
@@ -30,23 +31,28 @@
 from sidecar.proxy.request_lookahead import RequestLookahead
 from sidecar.proxy.request_reader import MAX_BODY_BYTES, ReceivedRequest, RequestReader
 from sidecar.proxy.request_routing import ImmediateResponse, route_request
-from sidecar.proxy.sockets import has_peer_closed
+from sidecar.proxy.request_transmission import transmission_bytes
+from sidecar.proxy.sockets import READ_BUFFER_BYTES, has_peer_closed, peek_unread_bytes
 
 log = logging.getLogger(__name__)
 
 # Limit of the data that is read and discarded after a rejected request, or when a client pipelines too much.
 # If it stayed unread, closing the connection would reset it, and the client might lose the response.
 _MAX_DISCARDED_BYTES = 128 * MAX_BODY_BYTES
-_NEGLIGIBLE_BYTES = 1024  # a request of this size that was complete at once is not accounted
+# While so much is unread behind a request in flight, the end of the client's stream may be unable to arrive.
+_MAX_UNREAD_BYTES = 32 * 1024
 
 
 class ClientConnection(ClientTransport):
     """A connection from a client; it carries one request at a time.
 
     Attributes:
+        purpose: What its data is buffered for.
         state: The current state; only the connection table changes it.
     """
 
+    purpose = DataPurpose.REQUEST
+
     def __init__(
         self, owner: ConnectionOwner, sock: socket.socket, connected_after: float, *, shed_load: bool = False
     ) -> None:
@@ -63,7 +69,7 @@
         self._owner = owner
         self._shed_load = shed_load
         self._arrival = ArrivalTime(connected_after)
-        self._reader = RequestReader(self._write)
+        self._reader = RequestReader(self._write, owner.max_match_bytes)
         self._lookahead: RequestLookahead | None = None  # None until data is pipelined
         self._request: ClientRequest | None = None  # the request in flight
         self._is_accounted = False
@@ -76,7 +82,7 @@
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         self._pacing = PacedReading(transport, self._has_backlog, self._read_deferred)
-        self._arrival.set_next_waited(has_waited=self.has_unread_data())
+        self.on_reading_resumed()
         transport.set_write_buffer_limits(high=0)
         self._owner.connection_opened(self, self._sock)
 
@@ -96,10 +102,9 @@
         """Close the connection: a half-closed connection counts as disconnected."""
         return False
 
-    def get_buffer(self, sizehint: int) -> memoryview:
-        """Return the buffer for the next read; a small one while memory is short."""
-        buffer = super().get_buffer(sizehint)
-        return buffer[:PRESSURE_READ_BYTES] if self._owner.is_short_of_memory() else buffer
+    def readable_bytes(self) -> int:
+        """Return how many bytes may be read at once: as many as may be buffered."""
+        return READ_BUFFER_BYTES if self._discarded_bytes is not None else self._owner.readable_bytes(self)
 
     def data_received(self, data: bytes) -> None:
         """Read a request, or examine the data pipelined behind the one in flight."""
@@ -108,7 +113,7 @@
         else:
             self._receive(data)
             is_complete = self.state is ConnectionState.IN_FLIGHT and self._lookahead is None
-            if not is_complete or len(data) > _NEGLIGIBLE_BYTES:
+            if not is_complete or len(data) > LEAST_SHARE_BYTES:
                 self._account_buffer()
 
     def _receive(self, data: bytes) -> None:
@@ -118,10 +123,10 @@
             self.abort()
             return
         is_pipelined = self._request is not None or self._write_blocked
-        self._arrival.record(continues_pipelined=is_pipelined and bool(self._reader.unread))
+        self._arrival.record(continues_pipelined=is_pipelined and self._reader.unread_bytes > 0)
         self._reader.receive(data)
         if self._request is not None:
-            self._lookahead = self._lookahead or RequestLookahead()
+            self._lookahead = self._lookahead or RequestLookahead(self._owner.max_match_bytes)
             self._lookahead.receive(self._reader.unread)
             self._look_ahead(self._lookahead)
         elif not self._write_blocked:
@@ -151,8 +156,9 @@
 
     @property
     def buffered_bytes(self) -> int:
-        """The memory that the data of this connection takes."""
-        return self._reader.buffered_bytes + self.unwritten_bytes
+        """The size of the data of this connection."""
+        ahead_bytes = self._lookahead.buffered_bytes if self._lookahead is not None else 0
+        return self._reader.buffered_bytes + ahead_bytes + self.unwritten_bytes
 
     def is_idle(self) -> bool:
         """Return whether the connection may be closed: no request is in flight, partly read or unread."""
@@ -186,6 +192,27 @@
         """Return whether a part of a request has been received, and no request is in flight."""
         return self.state is ConnectionState.READING and self.has_partial_request()
 
+    def on_reading_resumed(self) -> None:
+        """Record that unread data has waited; called by the transport side before reading goes on."""
+        self._arrival.set_next_waited(has_waited=self.has_unread_data())
+
+    def check_unread(self) -> None:
+        """Notice that the client has disconnected although data behind a request in flight stays unread.
+
+        A client that sends much more may not get as far as the end of its stream; its data is discarded from
+        then on, and its connection closes after the response.
+        """
+        if self._request is None or PauseReason.BACKLOG not in self._pause_reasons:
+            return
+        if self.is_disconnected():
+            self.abort()
+        elif peek_unread_bytes(self._sock) >= _MAX_UNREAD_BYTES:
+            self._discarded_bytes = 0
+            self._lookahead = None
+            self._reader.discard_unread()
+            self._account_buffer()
+            self.resume_reading(PauseReason.BACKLOG)
+
     def reject_incomplete(self) -> None:
         """Reject a request that has not been received completely, to free the memory of its data."""
         self._reject(MemoryShortageError())
@@ -231,7 +258,7 @@
         was_paused = self._pacing.is_paused
         self._pacing.update()
         if was_paused and not self._pacing.is_paused:  # unread data arrived during the pause
-            self._arrival.set_next_waited(has_waited=self.has_unread_data())
+            self.on_reading_resumed()
 
     def _fail_unhandled(self) -> None:
         """Reject the request whose handling raised an unexpected error; half-close if it was answered."""
@@ -243,8 +270,6 @@
     def _look_ahead(self, lookahead: RequestLookahead, max_events: int | None = None) -> None:
         """Examine the data pipelined behind the request in flight.
 
-        Reading goes on meanwhile, because unread data would hide a later close by the client.
-
         Args:
             lookahead: Parses the data.
             max_events: How many events to parse at most; None: as many as a request may take at once.
@@ -256,19 +281,21 @@
             self._discarded_bytes = 0
             self._owner.change_state(self, ConnectionState.READING_PIPELINED)
             return
-        state = ConnectionState.IN_FLIGHT if is_complete else ConnectionState.READING_PIPELINED
-        self._owner.change_state(self, state)
         if lookahead.has_backlog:
             parsing_queue().add(self)
         self._limit_pipelined()
+        is_read_on = not is_complete and PauseReason.BACKLOG not in self._pause_reasons
+        state = ConnectionState.READING_PIPELINED if is_read_on else ConnectionState.IN_FLIGHT
+        self._owner.change_state(self, state)
 
     def _limit_pipelined(self) -> None:
-        """Start to discard pipelined data if it exceeds the limit; the connection closes after the response.
+        """Stop reading once the pipelined data reaches the limit of one connection, or of all together.
 
-        The data is still read, because unread data would hide a later close by the client.
+        The rest of a request that is paused in this way is read when it is its turn, without a time limit
+        until then.
         """
-        if len(self._reader.unread) > MAX_BODY_BYTES:
-            self._discarded_bytes = 0
+        if self._reader.unread_bytes >= MAX_BODY_BYTES or not self._owner.readable_bytes(self):
+            self.pause_reading(PauseReason.BACKLOG)
 
     def _discard(self, byte_count: int) -> None:
         """Count discarded data; beyond the limit, fail the request in flight or stop reading."""
@@ -302,8 +329,7 @@
         """Answer a request directly or dispatch it to the handler."""
         self._owner.change_state(self, ConnectionState.IN_FLIGHT)
         self.resume_reading(PauseReason.MEMORY)  # a close must not go unnoticed
-        lacks_memory = self._owner.is_short_of_memory() and self.buffered_bytes >= PRESSURE_READ_BYTES
-        shed_load = self._shed_load or lacks_memory
+        shed_load = self._shed_load or not self._owner.has_room(transmission_bytes(received.byte_count))
         routed = route_request(received, self._owner.handler, self._owner.settings, self, shed_load=shed_load)
         if isinstance(routed, ImmediateResponse):
             self.respond(routed.status, routed.headers, b"", close=routed.close)
@@ -362,7 +388,9 @@
         """Return whether the connection has to be closed after the current response."""
         if self._discarded_bytes is not None or not self._reader.is_complete:
             return True
-        return self._owner.draining and not self._reader.unread  # a pipelined request gets a response, too
+        return (
+            self._owner.draining and not self._reader.unread_bytes
+        )  # a pipelined request gets a response, too
 
     def _keep_alive(self) -> None:
         """Keep the connection open after a response, and read the next request."""
@@ -372,9 +400,10 @@
             self._owner.change_state(self, ConnectionState.DELIVERING)
             return
         self._become_idle()
-        if len(self._reader.unread) >= MAX_BODY_BYTES:
+        unread_bytes = self._reader.unread_bytes
+        if unread_bytes >= MAX_BODY_BYTES:
             self.pause_reading(PauseReason.BACKLOG)  # a client may send faster than its requests are answered
-        if self._reader.unread:
+        if unread_bytes or PauseReason.BACKLOG in self._pause_reasons:
             asyncio.get_running_loop().call_soon(self._read_next_request)
 
     def _half_close(self) -> None:
--- a/sidecar/proxy/client_transport.py
+++ b/sidecar/proxy/client_transport.py
@@ -66,10 +66,16 @@
 
     def resume_reading(self, reason: PauseReason) -> None:
         """Read on, unless there is another reason not to."""
+        if reason not in self._pause_reasons:
+            return
         self._pause_reasons.discard(reason)
         if self._transport is not None and not self.is_reading_paused():
+            self.on_reading_resumed()
             self._transport.resume_reading()
 
+    def on_reading_resumed(self) -> None:
+        """Handle that reading goes on after a pause; what is read next may have waited."""
+
     def close(self) -> None:
         """Close the connection once all data has been written."""
         if self._transport is not None:
--- a/sidecar/proxy/connection_dialer.py
+++ b/sidecar/proxy/connection_dialer.py
@@ -26,6 +26,7 @@
     Attributes:
         dial_timeout_s: Seconds that a dial may take, retries included.
         open_connections: Count of connections and of dials in progress.
+        max_connections: Limit on that count.
     """
 
     def __init__(
@@ -48,13 +49,13 @@
         self.dial_timeout_s = dial_timeout_s
         self.open_connections = 0
         self._servers = servers
-        self._max_connections = max_connections
+        self.max_connections = max_connections
         self._on_connected = on_connected
         self._memory = memory
 
     def is_at_limit(self) -> bool:
         """Return whether another connection can be opened only after one has been closed."""
-        return self.open_connections >= self._max_connections
+        return self.open_connections >= self.max_connections
 
     def start(self, exchange: Exchange) -> bool:
         """Start the dial of an exchange.
--- a/sidecar/proxy/connection_owner.py
+++ b/sidecar/proxy/connection_owner.py
@@ -20,11 +20,13 @@
         handler: Handles the requests.
         settings: The settings for requests that are read from now on.
         draining: Whether each connection is closed after its current response.
+        max_match_bytes: How much memory it may take to match a line of a request, in bytes.
     """
 
     handler: RequestHandler
     settings: Settings
     draining: bool
+    max_match_bytes: int
 
     def connection_opened(self, connection: ClientConnection, sock: socket.socket) -> None:
         """Register a connection that has been set up on an accepted socket."""
@@ -35,8 +37,11 @@
     def buffer_changed(self, connection: ClientConnection) -> None:
         """Record how much a connection buffers, and stop reading it if that is too much."""
 
-    def is_short_of_memory(self) -> bool:
-        """Return whether the data of all connections takes more memory than it may."""
+    def readable_bytes(self, connection: ClientConnection) -> int:
+        """Return how many bytes a connection may read now."""
+
+    def has_room(self, byte_count: int) -> bool:
+        """Return whether this number of bytes may be buffered for a request that is about to be forwarded."""
 
     def change_state(self, connection: ClientConnection, state: ConnectionState) -> None:
         """Change the state of a connection."""
--- a/sidecar/proxy/connection_pool.py
+++ b/sidecar/proxy/connection_pool.py
@@ -64,6 +64,10 @@
         """Count of connections and of dials in progress."""
         return self._dialer.open_connections
 
+    def set_max_connections(self, max_connections: int) -> None:
+        """Put another limit on connections and dials into force; those that are open stay open."""
+        self._dialer.max_connections = max_connections
+
     def set_timeouts(self, dial_timeout_s: float, idle_timeout_s: float) -> None:
         """Put other timeouts, in seconds, into force; dials in progress keep theirs."""
         self._dialer.dial_timeout_s = dial_timeout_s
--- a/sidecar/proxy/connection_table.py
+++ b/sidecar/proxy/connection_table.py
@@ -14,6 +14,7 @@
 _SWEEP_INTERVAL_S = 0.1
 # The request of a younger connection may be in transit, so other connections are evicted first.
 _NEW_CONNECTION_AGE_S = 0.1
+_MAX_IDLE_FRACTION = 3  # one of so many connections may be idle
 _MAX_EVICTION_CANDIDATES = 4  # connections of one state that are examined for eviction
 
 
@@ -21,12 +22,12 @@
     """Tracks the connections in each state, at most `capacity` of them.
 
     Attributes:
-        capacity: The largest number of connections, including those still being set up.
+        capacity: The largest number of connections, including those still being set up; may be changed at any
+            time, and open connections stay open.
     """
 
     def __init__(self, capacity: int) -> None:
         self.capacity = capacity
-        self._max_idle = max(capacity // 3, 1)  # clients may keep idle connections that they never use again
         # The connections in each state, with the event loop time at which they entered it, oldest first.
         self._by_state: dict[ConnectionState, dict[ClientConnection, float]] = {
             state: {} for state in ConnectionState
@@ -81,7 +82,9 @@
             self._limit_idle()
 
     def _limit_idle(self) -> None:
-        if len(self._by_state[ConnectionState.IDLE]) <= self._max_idle:
+        """Close the oldest idle connection if there are many; clients may never use theirs again."""
+        max_idle = max(self.capacity // _MAX_IDLE_FRACTION, 1)
+        if len(self._by_state[ConnectionState.IDLE]) <= max_idle:
             return
         oldest = self._find_without_unread_data(ConnectionState.IDLE)
         if oldest is not None and oldest.is_idle():
@@ -98,6 +101,8 @@
     def _sweep(self) -> None:
         for state, limit_s in STATE_TIME_LIMITS_S.items():
             self._enforce_time_limit(state, limit_s)
+        for connection in list(self._by_state[ConnectionState.IN_FLIGHT]):
+            connection.check_unread()
         self._overload.record_lag(asyncio.get_running_loop().time() - self._sweep_due)
         self._silent = self._find_silent() if self._overload.is_limiting() else set()
         self.schedule_sweep()
--- a/sidecar/proxy/discovery_client.py
+++ b/sidecar/proxy/discovery_client.py
@@ -17,6 +17,7 @@
 from collections.abc import Callable
 
 from sidecar.proxy.addresses import Address
+from sidecar.proxy.memory_pressure import MemoryPressure
 from sidecar.proxy.registry_call import RegistryCall, RegistryTimeoutError, open_call
 from sidecar.proxy.registry_messages import RegistryResponse
 
@@ -35,7 +36,11 @@
 
 
 class DiscoveryClient:
-    """Watches and fetches the endpoint list; each call has a connection of its own."""
+    """Watches and fetches the endpoint list; each call has a connection of its own.
+
+    Attributes:
+        memory: Keeps the data of all connections within a limit; None: there is none.
+    """
 
     def __init__(
         self, address: Address, version: int, on_response: Callable[[RegistryResponse | None], None]
@@ -47,6 +52,7 @@
             version: Version of the cached endpoint list.
             on_response: Called with each response of the registry, and with None for each call that failed.
         """
+        self.memory: MemoryPressure | None = None
         self._address = address
         self._version: int | None = version  # None: the next call fetches the complete list
         self._has_last_call_failed = False
@@ -156,7 +162,7 @@
         """
         loop = asyncio.get_running_loop()
         deadline = loop.time() + timeout_s
-        call = await open_call(self._address, target, self._version)
+        call = await open_call(self._address, target, self._version, self.memory)
         try:
             response = await call.wait(deadline - loop.time())
         except RegistryTimeoutError:
--- a/sidecar/proxy/driver.py
+++ b/sidecar/proxy/driver.py
@@ -38,6 +38,7 @@
 from sidecar.proxy.frontend import Frontend
 from sidecar.proxy.health_checks import HealthChecker
 from sidecar.proxy.loop_lag import LoopLagMonitor
+from sidecar.proxy.memory_layout import DEFAULT_PROGRAM_BYTES, MemoryLayout
 from sidecar.proxy.memory_pressure import MemoryPressure
 from sidecar.proxy.request_lifecycle import RequestLifecycle
 from sidecar.proxy.shutdown import GracefulShutdown
@@ -63,9 +64,13 @@
         frontend: Accepts the client connections.
     """
 
-    def __init__(self, config: Config) -> None:
+    def __init__(self, config: Config, program_bytes: int = DEFAULT_PROGRAM_BYTES) -> None:
         """Open the listening socket.
 
+        Args:
+            config: The initial configuration.
+            program_bytes: The memory that the process needs without connections and without endpoint list.
+
         Raises:
             OSError: The listening socket can't be opened.
         """
@@ -77,12 +82,15 @@
         self._is_processing = False
         self._lag_monitor = LoopLagMonitor()
         self._active = ActiveRequests()
-        max_connections = max((config.sockets - RESERVED_DESCRIPTORS) // 2, 1)
+        self._memory_mb = config.memory_mb
+        self._program_bytes = program_bytes
+        self._max_connections = max((config.sockets - RESERVED_DESCRIPTORS) // 2, 1)
         limits = settings.limits
-        table = ConnectionTable(max_connections)
-        memory = MemoryPressure(BufferBudget.for_memory_limit(config.memory_mb), table)
+        layout = self._divide_memory(len(config.cached_endpoints.endpoints))
+        table = ConnectionTable(layout.max_connections)
+        self._memory = MemoryPressure(BufferBudget(layout.pool_bytes), table, layout.max_match_bytes)
         self._pool = ConnectionPool(
-            limits.dial_timeout_us / 1e6, limits.idle_close_us / 1e6, max_connections, memory
+            limits.dial_timeout_us / 1e6, limits.idle_close_us / 1e6, layout.max_connections, self._memory
         )
         self._endpoint_list = EndpointList(
             config.discovery,
@@ -91,10 +99,22 @@
             self._pool,
             self.handle_event,
         )
+        self._endpoint_list.client.memory = self._memory
+        self._endpoint_list.on_length_changed = self._on_list_length_changed
         self._requests = RequestLifecycle(self._active, self._pool, self._clock, self.handle_event)
         self._attempts = AttemptSender(settings, self._requests, self._pool, self._clock, self.handle_event)
         self._health_checks = HealthChecker(settings, self._pool, self._clock, self.handle_event)
-        self.frontend = Frontend(config.listen, table, self, settings, memory)
+        self.frontend = Frontend(config.listen, table, self, settings, self._memory)
+
+    def _divide_memory(self, server_count: int) -> MemoryLayout:
+        return MemoryLayout.divide(self._memory_mb, self._program_bytes, self._max_connections, server_count)
+
+    def _on_list_length_changed(self, server_count: int) -> None:
+        """Leave memory for the endpoint list."""
+        layout = self._divide_memory(server_count)
+        self.frontend.table.capacity = layout.max_connections
+        self._pool.set_max_connections(layout.max_connections)
+        self._memory.set_pool(layout.pool_bytes)
 
     async def run(self, stop: asyncio.Event) -> None:
         """Serve until `stop` is set, then shut down gracefully."""
--- a/sidecar/proxy/endpoint_list.py
+++ b/sidecar/proxy/endpoint_list.py
@@ -23,6 +23,7 @@
 
     Attributes:
         client: The client of the registry.
+        on_length_changed: Called with the number of servers after the list has changed.
     """
 
     def __init__(
@@ -34,6 +35,7 @@
         handle_event: Callable[[Event], None],
     ) -> None:
         self.client = DiscoveryClient(address, version, self.on_response)
+        self.on_length_changed: Callable[[int], None] = lambda _: None
         self._mode = mode
         self._pool = pool
         self._handle_event = handle_event
@@ -82,6 +84,7 @@
         endpoints = [resolved.endpoint for resolved in response.endpoints]
         if endpoints:
             endpoints += self._remove_superseded()
+            self.on_length_changed(len(self._pool.servers))
         self._handle_event(RegistryUpdated(kind, endpoints, response.version))
 
     def _remove_superseded(self) -> list[Endpoint]:
--- a/sidecar/proxy/exchange.py
+++ b/sidecar/proxy/exchange.py
@@ -10,7 +10,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 from sidecar.balancer.events import Outcome
-from sidecar.proxy.http_messages import Response
+from sidecar.proxy.http_messages import EncodedMessage, Response
 from sidecar.proxy.server_connection import ServerConnection
 from sidecar.proxy.sockets import is_connected
 
@@ -24,7 +24,7 @@
 class RequestEncoder(Protocol):
     """Encodes a request at the moment when it is written, because it states the remaining time."""
 
-    def encode(self, remaining_s: float, /) -> bytes | None:
+    def encode(self, remaining_s: float, /) -> EncodedMessage | None:
         """Encode the request.
 
         This is called when a connection is ready, and again before the last byte of a long request.
@@ -54,9 +54,9 @@
 
     data: bytes
 
-    def encode(self, _remaining_s: float, /) -> bytes:
+    def encode(self, _remaining_s: float, /) -> EncodedMessage:
         """Return the request."""
-        return self.data
+        return EncodedMessage(self.data)
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,7 +67,7 @@
         encode: Encodes the request, as `RequestEncoder.encode` does.
     """
 
-    encode: Callable[[float], bytes | None]
+    encode: Callable[[float], EncodedMessage | None]
 
 
 class Exchange:
@@ -118,7 +118,7 @@
         """Return whether the last byte of its request has been handed to the kernel."""
         return self.connection is not None and self.connection.is_request_written
 
-    def encode_request(self, now: float) -> bytes | None:
+    def encode_request(self, now: float) -> EncodedMessage | None:
         """Encode its request at an event loop time; return None if it is not wanted any more."""
         return self._encoder.encode(max(self.deadline - now, 0.0))
 
--- a/sidecar/proxy/frontend.py
+++ b/sidecar/proxy/frontend.py
@@ -30,6 +30,7 @@
         settings: The settings for requests that are read from now on; may be replaced at any time.
         draining: Whether a graceful shutdown has begun.
         table: The table of connections.
+        max_match_bytes: How much memory it may take to match a line of a request, in bytes.
         address: The address of the listening socket.
     """
 
@@ -57,6 +58,7 @@
         self.settings = settings
         self.draining = False
         self.table = table
+        self.max_match_bytes = memory.max_match_bytes
         self._memory = memory
         self._accepting = False
         # Event loop time at which the accept queue was last known to be empty; None: at the loop's last poll.
@@ -167,9 +169,13 @@
         """Record how much a connection buffers, and stop reading it if that is too much."""
         self._memory.buffer_changed(connection)
 
-    def is_short_of_memory(self) -> bool:
-        """Return whether the data of all connections takes more memory than it may."""
-        return self._memory.exists()
+    def readable_bytes(self, connection: ClientConnection) -> int:
+        """Return how many bytes a connection may read now."""
+        return self._memory.readable_bytes(connection)
+
+    def has_room(self, byte_count: int) -> bool:
+        """Return whether this number of bytes may be buffered for a request that is about to be forwarded."""
+        return self._memory.has_room(byte_count)
 
     def change_state(self, connection: ClientConnection, state: ConnectionState) -> None:
         """Change the state of a connection."""
--- a/sidecar/proxy/http_messages.py
+++ b/sidecar/proxy/http_messages.py
@@ -64,6 +64,24 @@
     return encode_message(status_line, headers, body if with_body else b"")
 
 
+@dataclass(frozen=True, slots=True)
+class EncodedMessage:
+    """An encoded request in two parts, so that its body need not be copied.
+
+    Attributes:
+        head: The start line and the headers; it may include the body.
+        body: The rest.
+    """
+
+    head: bytes
+    body: bytes = b""
+
+    @property
+    def byte_count(self) -> int:
+        """The size of both parts."""
+        return len(self.head) + len(self.body)
+
+
 @dataclass(slots=True)
 class Response:
     """A complete response of a server.
--- a/sidecar/proxy/incremental_parser.py
+++ b/sidecar/proxy/incremental_parser.py
@@ -10,7 +10,7 @@
 
 import h11
 
-from sidecar.proxy.syntax_check import SyntaxCheck, is_chunked
+from sidecar.proxy.syntax_check import DEFAULT_MAX_MATCH_BYTES, SyntaxCheck, is_chunked
 
 _MAX_SECTION_BYTES = 64 * 1024  # of a head, a trailer section or the line ahead of a chunk
 # One step parses a whole head or trailer section.  A small piece keeps the lines in it near their limit.
@@ -30,14 +30,17 @@
         connection: The h11 connection; data for it must pass through this parser.
     """
 
-    def __init__(self, our_role: type[h11.CLIENT | h11.SERVER]) -> None:
+    def __init__(
+        self, our_role: type[h11.CLIENT | h11.SERVER], max_match_bytes: int = DEFAULT_MAX_MATCH_BYTES
+    ) -> None:
         """Create a parser that has received no data.
 
         Args:
             our_role: h11.SERVER to parse a request, h11.CLIENT to parse a response.
+            max_match_bytes: How much memory one step may take to match a line, in bytes.
         """
         self.connection = h11.Connection(our_role, max_incomplete_event_size=_MAX_SECTION_BYTES)
-        self._syntax = SyntaxCheck(our_role)
+        self._syntax = SyntaxCheck(our_role, max_match_bytes)
         self._pending = bytearray()  # received and not yet passed to h11
         self._needs_data = True
         self._piece_bytes = _PIECE_BYTES
--- a/sidecar/proxy/memory_pressure.py
+++ b/sidecar/proxy/memory_pressure.py
@@ -1,9 +1,8 @@
-"""Keeps the data of all connections within a memory budget.
+"""Keeps the data of all connections within a memory budget: decides before each read how much may be read.
 
-While the budget is exceeded, connections are read in small pieces, and a connection whose message is longer
-than that is not read on.  A request that has been incomplete for too long is rejected then, and its memory is
-free for others.  Rejecting requests at once would serve nobody: clients that come back at once would use up
-the CPU.
+A connection whose message is incomplete and that may not read on waits until others free memory.  A request
+that has been incomplete for too long while connections wait is rejected.  Rejecting requests at once would
+serve nobody: clients that come back at once would use up the CPU.
 """
 
 from __future__ import annotations
@@ -12,21 +11,30 @@
 from collections.abc import Hashable
 from typing import Protocol
 
-from sidecar.proxy.buffer_budget import PRESSURE_READ_BYTES, BufferBudget
+from sidecar.proxy.buffer_budget import BufferBudget, DataPurpose
 from sidecar.proxy.connection_table import ConnectionTable
+from sidecar.proxy.memory_layout import LEAST_SHARE_BYTES
 from sidecar.proxy.pause_reason import PauseReason
+from sidecar.proxy.sockets import READ_BUFFER_BYTES
+from sidecar.proxy.syntax_check import DEFAULT_MAX_MATCH_BYTES
 
 # How long a request may be incomplete under pressure: less than the half second that an answer may be late.
 _MAX_INCOMPLETE_S = 0.35
 _CHECK_INTERVAL_S = 0.05
+_REGISTRY_COPIES = 3  # of a response while it is decoded: bytes, text, and its entries
+_RESUME_BYTES = 4 * 1024  # free for each connection that is read on; most of the messages that wait then fit
 
 
 class BufferingConnection(Hashable, Protocol):
-    """A connection to a client or a server, with a message that may be incomplete."""
+    """A connection to a client, a server or the registry, with a message that may be incomplete."""
+
+    @property
+    def purpose(self) -> DataPurpose:
+        """What its data is buffered for."""
 
     @property
     def buffered_bytes(self) -> int:
-        """The memory that its data takes."""
+        """The size of its data."""
 
     def is_incomplete(self) -> bool:
         """Return whether a part of a message has been received, and more is expected."""
@@ -39,38 +47,79 @@
 
 
 class MemoryPressure:
-    """Pauses incomplete messages, and rejects incomplete requests, while the budget is exceeded."""
+    """Limits what connections read, and rejects incomplete requests while others wait for memory.
 
-    def __init__(self, budget: BufferBudget, table: ConnectionTable) -> None:
+    Attributes:
+        max_match_bytes: How much memory it may take to match a line of a message, in bytes.
+    """
+
+    def __init__(
+        self, budget: BufferBudget, table: ConnectionTable, max_match_bytes: int = DEFAULT_MAX_MATCH_BYTES
+    ) -> None:
         """Create the guard of a budget.
 
         Args:
             budget: The memory that the data of all connections may take.
             table: The connections of clients.
+            max_match_bytes: How much memory it may take to match a line of a message, in bytes.
         """
+        self.max_match_bytes = max_match_bytes
         self._budget = budget
         self._table = table
-        self._paused: dict[BufferingConnection, None] = {}  # longest first
+        # The connections that are not read for lack of memory, the longest waiting first.
+        self._waiting: dict[DataPurpose, dict[BufferingConnection, None]] = {each: {} for each in DataPurpose}
         self._is_check_scheduled = False
 
+    def readable_bytes(self, connection: BufferingConnection) -> int:
+        """Return how many bytes a connection may read now."""
+        free_bytes = self._budget.free_bytes(connection.purpose)
+        if free_bytes >= READ_BUFFER_BYTES:
+            return free_bytes
+        return free_bytes + max(LEAST_SHARE_BYTES - connection.buffered_bytes, 0)
+
+    def has_room(self, byte_count: int) -> bool:
+        """Return whether this number of bytes may be buffered for a request that is about to be forwarded."""
+        return self._budget.free_bytes(DataPurpose.RESPONSE) >= byte_count
+
+    @property
+    def max_registry_response_bytes(self) -> int:
+        """The largest response of the registry that fits while it is received and decoded."""
+        return self._budget.limit(DataPurpose.REGISTRY) // _REGISTRY_COPIES
+
     def exists(self) -> bool:
-        """Return whether the budget is exceeded."""
-        return self._budget.is_exceeded()
+        """Return whether connections wait for memory."""
+        return any(self._waiting.values())
 
     def buffer_changed(self, connection: BufferingConnection) -> None:
-        """Record how much a connection buffers, and stop reading it if that is too much."""
+        """Record how much a connection buffers, and stop reading it if it may not read any more."""
         self._budget.record(connection, connection.buffered_bytes)
-        if not self._budget.is_exceeded():
-            return
-        if connection.is_incomplete() and self._budget.bytes_of(connection) >= PRESSURE_READ_BYTES:
+        if connection.is_incomplete() and not self.readable_bytes(connection):
             connection.pause_reading(PauseReason.MEMORY)
-            self._paused.setdefault(connection)
-        self._schedule_check()
+            self._waiting[connection.purpose].setdefault(connection)
+            self._schedule_check()
+        else:
+            self._resume_waiting()
 
     def release(self, connection: BufferingConnection) -> None:
         """Forget a connection that has been closed, or whose message is complete."""
         self._budget.record(connection, 0)
-        self._paused.pop(connection, None)
+        self._waiting[connection.purpose].pop(connection, None)
+        self._resume_waiting()
+
+    def set_pool(self, pool_bytes: int) -> None:
+        """Change the size of the pool."""
+        self._budget.pool_bytes = pool_bytes
+        self._resume_waiting()
+
+    def _resume_waiting(self) -> None:
+        """Read on where there is memory; a connection that uses it up is paused again."""
+        if not self._is_check_scheduled:
+            return  # no connection waits
+        for purpose, waiting in self._waiting.items():
+            resumable = self._budget.free_bytes(purpose) // _RESUME_BYTES if waiting else 0
+            for connection in list(waiting)[:resumable]:
+                del waiting[connection]
+                connection.resume_reading(PauseReason.MEMORY)
 
     def _schedule_check(self) -> None:
         if not self._is_check_scheduled:
@@ -80,23 +129,16 @@
     def _check(self) -> None:
         self._is_check_scheduled = False
         self._reject_longest_incomplete()
-        if self._budget.is_exceeded():
+        if self.exists():
             self._schedule_check()
-        else:
-            self._resume_paused()
 
     def _reject_longest_incomplete(self) -> None:
         latest = asyncio.get_running_loop().time() - _MAX_INCOMPLETE_S
         for connection in self._table.incomplete_since(latest):
-            if not self._budget.is_exceeded():
+            if not self.exists():
                 return
-            if self._budget.bytes_of(connection) >= PRESSURE_READ_BYTES:
-                self._paused.pop(connection, None)
+            if self._budget.pooled_bytes_of(connection):
                 connection.reject_incomplete()
                 self._budget.record(connection, connection.buffered_bytes)
-
-    def _resume_paused(self) -> None:
-        """Read on; a connection that exceeds the budget again is paused again."""
-        paused, self._paused = self._paused, {}
-        for connection in paused:
-            connection.resume_reading(PauseReason.MEMORY)
+                self._waiting[connection.purpose].pop(connection, None)
+                self._resume_waiting()
--- a/sidecar/proxy/registry_call.py
+++ b/sidecar/proxy/registry_call.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
-import json
 from collections.abc import Callable
 
 from sidecar.proxy.addresses import Address
+from sidecar.proxy.buffer_budget import DataPurpose
 from sidecar.proxy.http_messages import Response, encode_message
-from sidecar.proxy.registry_messages import RegistryResponse, parse_registry_response
+from sidecar.proxy.memory_pressure import MemoryPressure
+from sidecar.proxy.registry_json import decode_registry_response
+from sidecar.proxy.registry_messages import RegistryResponse
 from sidecar.proxy.server_connection import ServerConnection, connect
 
 _CONNECT_TIMEOUT_S = 1.5  # leaves time for the first retransmission of a lost SYN
@@ -93,7 +95,7 @@
             raise RegistryConnectionError
         if response.status != _OK:
             raise RegistryStatusError(response.status)
-        return parse_registry_response(json.loads(response.body))
+        return decode_registry_response(response.body)
 
     def call_when_ended(self, callback: Callable[[RegistryCall], None]) -> None:
         """Call a function when the call has ended, unless it is aborted before."""
@@ -114,19 +116,27 @@
             self._response.set_result(response)
 
 
-async def open_call(address: Address, target: str, version: int | None) -> RegistryCall:
+async def open_call(
+    address: Address, target: str, version: int | None, memory: MemoryPressure | None = None
+) -> RegistryCall:
     """Connect to the registry and send a call.
 
     Args:
         address: Address of the registry.
         target: What is requested.
         version: The version that is known; None: the complete list is requested.
+        memory: Keeps the data of all connections within a limit; None: there is none.
 
     Raises:
         OSError: The registry can't be reached.
     """
+    max_bytes = _MAX_RESPONSE_BYTES
+    if memory is not None:
+        max_bytes = min(max_bytes, memory.max_registry_response_bytes)
     async with asyncio.timeout(_CONNECT_TIMEOUT_S):
-        connection = await connect(address, _MAX_RESPONSE_BYTES)
+        connection = await connect(address, max_bytes)
+    connection.purpose = DataPurpose.REGISTRY
+    connection.memory = memory
     call = RegistryCall(connection, target, version)
     try:
         call.send(address)
--- a/sidecar/proxy/registry_messages.py
+++ b/sidecar/proxy/registry_messages.py
@@ -13,6 +13,7 @@
 
 log = logging.getLogger(__name__)
 
+ENTRIES_KEY = "endpoints"
 _STATES_BY_STATUS = {
     "active": ServerState.READY,
     "leaving": ServerState.DRAINING,
@@ -70,25 +71,45 @@
     Args:
         value: The decoded JSON.
 
+    Raises:
+        InvalidRegistryResponseError: It is not an endpoint list.
+    """
+    entries = value.get(ENTRIES_KEY) if isinstance(value, Mapping) else None
+    if not isinstance(entries, list):
+        return build_registry_response(value, None)
+    parsed = (parse_entry(entry) for entry in entries)
+    return build_registry_response(value, [each for each in parsed if each is not None])
+
+
+def build_registry_response(value: object, endpoints: list[ResolvedEndpoint] | None) -> RegistryResponse:
+    """Return an endpoint list.
+
+    Args:
+        value: The decoded JSON; its entries need not be part of it.
+        endpoints: The parsed entries; None: there is no list of them.
+
     Raises:
         InvalidRegistryResponseError: It is not an endpoint list.
     """
     if not isinstance(value, Mapping):
         raise InvalidRegistryResponseError("response", "an object")
-    entries, version = value.get("endpoints"), value.get("index")
-    if not isinstance(entries, list):
-        raise InvalidRegistryResponseError("endpoints", "a list")
+    if endpoints is None:
+        raise InvalidRegistryResponseError(ENTRIES_KEY, "a list")
+    version = value.get("index")
     if type(version) is not int:
         raise InvalidRegistryResponseError("index", "an integer")
-    endpoints = []
-    for entry in entries:
-        try:
-            endpoints.append(_parse_endpoint(entry))
-        except InvalidEndpointError as error:
-            log.warning("registry: invalid entry skipped: %s: %.120r", error, entry)
     return RegistryResponse(version, value.get("snapshot") is True, endpoints)
 
 
+def parse_entry(entry: object) -> ResolvedEndpoint | None:
+    """Parse an entry of the endpoint list; log an invalid one and return None."""
+    try:
+        return _parse_endpoint(entry)
+    except InvalidEndpointError as error:
+        log.warning("registry: invalid entry skipped: %s: %.120r", error, entry)
+        return None
+
+
 def _parse_endpoint(entry: object) -> ResolvedEndpoint:
     if not isinstance(entry, Mapping):
         raise InvalidEndpointError("entry", "an object")
--- a/sidecar/proxy/request_lookahead.py
+++ b/sidecar/proxy/request_lookahead.py
@@ -5,6 +5,7 @@
 import h11
 
 from sidecar.proxy.incremental_parser import IncrementalParser
+from sidecar.proxy.syntax_check import DEFAULT_MAX_MATCH_BYTES
 
 
 class RequestLookahead:
@@ -14,12 +15,22 @@
         has_backlog: Whether the last call of `parse` left data that can be parsed now.
     """
 
-    def __init__(self) -> None:
-        """Create a lookahead that has seen no data."""
+    def __init__(self, max_match_bytes: int = DEFAULT_MAX_MATCH_BYTES) -> None:
+        """Create a lookahead that has seen no data.
+
+        Args:
+            max_match_bytes: How much memory it may take to match a line, in bytes.
+        """
         self.has_backlog = False
-        self._parser: IncrementalParser | None = IncrementalParser(h11.SERVER)  # None: a request is complete
+        # None: a request is complete.
+        self._parser: IncrementalParser | None = IncrementalParser(h11.SERVER, max_match_bytes)
         self._received_bytes = 0
 
+    @property
+    def buffered_bytes(self) -> int:
+        """The size of the data that it holds, in addition to what the connection has received."""
+        return self._parser.buffered_bytes if self._parser is not None else 0
+
     def receive(self, pipelined: bytes) -> None:
         """Add the data that has been received since the last call.
 
--- a/sidecar/proxy/request_reader.py
+++ b/sidecar/proxy/request_reader.py
@@ -10,6 +10,7 @@
 from sidecar.proxy.incremental_parser import IncrementalParser
 from sidecar.proxy.request_errors import BodyTooLargeError
 from sidecar.proxy.request_head import RequestHead
+from sidecar.proxy.syntax_check import DEFAULT_MAX_MATCH_BYTES
 
 MAX_BODY_BYTES = 64 * 1024
 
@@ -26,6 +27,11 @@
     head: RequestHead
     body: bytes
 
+    @property
+    def byte_count(self) -> int:
+        """The size of its data."""
+        return self.head.byte_count + len(self.body)
+
     @property
     def path(self) -> bytes:
         """The path without the query."""
@@ -44,15 +50,19 @@
         has_backlog: Whether the last call that parsed data left some that can be parsed now.
     """
 
-    def __init__(self, write: Callable[[bytes], None]) -> None:
+    def __init__(
+        self, write: Callable[[bytes], None], max_match_bytes: int = DEFAULT_MAX_MATCH_BYTES
+    ) -> None:
         """Create a reader.
 
         Args:
             write: Sends an interim response to the client.
+            max_match_bytes: How much memory it may take to match a line, in bytes.
         """
+        self._max_match_bytes = max_match_bytes
         self.has_backlog = False
         self._write = write
-        self._parser = _new_parser()
+        self._parser = self._new_parser()
         self._head: RequestHead | None = None
         self._head_bytes = 0
         self._body = bytearray()
@@ -68,6 +78,11 @@
         """The received data that has not been parsed as part of the request."""
         return self._parser.unparsed
 
+    @property
+    def unread_bytes(self) -> int:
+        """The size of `unread`."""
+        return self._parser.buffered_bytes
+
     @property
     def has_head(self) -> bool:
         """Whether the head of a request that has not been answered has been read."""
@@ -85,7 +100,7 @@
 
     def has_partial_request(self) -> bool:
         """Return whether part of a request that has not been answered has arrived."""
-        return self.has_head or bool(self.unread)
+        return self.has_head or self.unread_bytes > 0
 
     def receive(self, data: bytes) -> None:
         """Add received data."""
@@ -124,15 +139,23 @@
     def discard_all(self) -> None:
         """Discard the request and all received data, as nothing more is read on the connection."""
         self.discard_request()
-        if self.unread:
-            self._parser = _new_parser()
+        self.discard_unread()
+
+    def discard_unread(self) -> None:
+        """Discard the received data that has not been parsed, as nothing more is read on the connection."""
+        if self.unread_bytes:
+            self._parser = self._new_parser()
 
     def start_next(self) -> None:
         """Proceed to the next request, which begins with the unread data."""
         unread = self.unread
-        self._parser = _new_parser()
+        self._parser = self._new_parser()
         self._parser.receive(unread)
 
+    def _new_parser(self) -> IncrementalParser:
+        """Return a parser for one request."""
+        return IncrementalParser(h11.SERVER, self._max_match_bytes)
+
     def _complete(self) -> ReceivedRequest:
         assert self._head is not None  # h11 emits it first
         request = ReceivedRequest(self._head, bytes(self._body))
@@ -153,8 +176,3 @@
         self._body_bytes += len(data)
         if self._body_bytes > MAX_BODY_BYTES:
             raise BodyTooLargeError
-
-
-def _new_parser() -> IncrementalParser:
-    """Return a parser for one request."""
-    return IncrementalParser(h11.SERVER)
--- a/sidecar/proxy/request_transmission.py
+++ b/sidecar/proxy/request_transmission.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+
+from sidecar.proxy.http_messages import EncodedMessage
 
 # The kernel accepts a request of up to this size at once, as nothing else is being sent on its connection.
 _MAX_ATOMIC_WRITE_BYTES = 16 * 1024
+_PIECE_BYTES = 16 * 1024  # of a long request: what the kernel does not accept at once is copied
 
 
 class RequestTransmission:
@@ -31,24 +34,47 @@
         self.is_complete = False
         self._transport = transport
         self._is_wanted = is_wanted
+        self._pieces: Iterator[bytes | memoryview] = iter(())
         self._last_byte = b""
 
-    def start(self, request: bytes) -> None:
-        """Write the request, or all but the last byte of a long one."""
-        if len(request) > _MAX_ATOMIC_WRITE_BYTES:
-            request, self._last_byte = request[:-1], request[-1:]
-        self._write(request)
+    def start(self, request: EncodedMessage) -> None:
+        """Write the request, or as much of a long one as the kernel accepts, without its last byte."""
+        if request.byte_count <= _MAX_ATOMIC_WRITE_BYTES:
+            self._transport.write(request.head + request.body)
+        else:
+            *parts, last = (part for part in (request.head, request.body) if part)
+            self._last_byte = last[-1:]
+            self._pieces = _pieces_of([*parts, memoryview(last)[:-1]])
+        self.on_buffer_empty()
 
     def on_buffer_empty(self) -> None:
-        """Write the byte that is held back, if any: the kernel has accepted all bytes before it."""
+        """Write on until the kernel does not accept any more, or the request is complete.
+
+        A failed write closes the transport and empties its buffer, although the data was not sent.
+        """
+        while not self._transport.is_closing() and not self._transport.get_write_buffer_size():
+            piece = next(self._pieces, None) or self._take_last_byte()
+            if not piece:
+                return
+            self._transport.write(piece)
+
+    def _take_last_byte(self) -> bytes:
+        """Return the byte that is held back, if it is to be written: all others have been accepted."""
         last_byte, self._last_byte = self._last_byte, b""
         if not last_byte:
             self.is_complete = True
-        elif self._is_wanted():
-            self._write(last_byte)
-
-    def _write(self, data: bytes) -> None:
-        self._transport.write(data)
-        # A failed write closes the transport and empties its buffer, although the data was not sent.
-        if not self._transport.is_closing() and not self._transport.get_write_buffer_size():
-            self.on_buffer_empty()
+        elif not self._is_wanted():
+            return b""
+        return last_byte
+
+
+def _pieces_of(parts: list[bytes | memoryview]) -> Iterator[memoryview]:
+    for part in parts:
+        view = memoryview(part)
+        for start in range(0, len(view), _PIECE_BYTES):
+            yield view[start : start + _PIECE_BYTES]
+
+
+def transmission_bytes(request_bytes: int) -> int:
+    """Return how much a request may need beside its data while two attempts write it at the same time."""
+    return 2 * _PIECE_BYTES if request_bytes > _MAX_ATOMIC_WRITE_BYTES else 0
--- a/sidecar/proxy/response_reader.py
+++ b/sidecar/proxy/response_reader.py
@@ -9,6 +9,7 @@
 
 from sidecar.proxy.http_messages import Headers, Response
 from sidecar.proxy.incremental_parser import Event, IncrementalParser
+from sidecar.proxy.syntax_check import DEFAULT_MAX_MATCH_BYTES
 
 _MAX_INFORMATIONAL_RESPONSES = 8  # 1xx responses ahead of the final one
 _CONTENT_LENGTH = b"content-length"
@@ -114,10 +115,16 @@
         has_backlog: Whether the last call that parsed data left some that can be parsed now.
     """
 
-    def __init__(self, max_body_bytes: int) -> None:
+    def __init__(self, max_body_bytes: int, max_match_bytes: int = DEFAULT_MAX_MATCH_BYTES) -> None:
+        """Create a reader.
+
+        Args:
+            max_body_bytes: Longer responses count as malformed.
+            max_match_bytes: How much memory it may take to match a line, in bytes.
+        """
         self.has_backlog = False
         self._max_body_bytes = max_body_bytes
-        self._parser = IncrementalParser(h11.CLIENT)
+        self._parser = IncrementalParser(h11.CLIENT, max_match_bytes)
         self._connection = self._parser.connection
         for event in _PARSER_REQUEST:
             self._connection.send(event)
--- a/sidecar/proxy/server_connection.py
+++ b/sidecar/proxy/server_connection.py
@@ -12,9 +12,9 @@
 
 from sidecar.proxy import sockets
 from sidecar.proxy.addresses import Address
-from sidecar.proxy.buffer_budget import PRESSURE_READ_BYTES
+from sidecar.proxy.buffer_budget import DataPurpose
 from sidecar.proxy.dialing import LOCAL_ERRNOS, close_quietly, connect_socket, open_socket
-from sidecar.proxy.http_messages import Response
+from sidecar.proxy.http_messages import EncodedMessage, Response
 from sidecar.proxy.memory_pressure import MemoryPressure
 from sidecar.proxy.paced_reading import PacedReading
 from sidecar.proxy.pause_reason import PauseReason
@@ -25,7 +25,8 @@
     ResponseReader,
     TruncatedResponseError,
 )
-from sidecar.proxy.sockets import SharedBufferProtocol, is_receive_queue_empty
+from sidecar.proxy.sockets import READ_BUFFER_BYTES, SharedBufferProtocol, is_receive_queue_empty
+from sidecar.proxy.syntax_check import DEFAULT_MAX_MATCH_BYTES
 
 log = logging.getLogger(__name__)
 
@@ -47,6 +48,7 @@
         has_local_failure: Whether it broke for a cause on this machine.
         on_lost: Called once when it is closed.
         memory: Keeps the data of all connections within a limit; None: there is none.
+        purpose: What its data is buffered for.
     """
 
     def __init__(
@@ -65,6 +67,7 @@
         self.has_local_failure = False
         self.on_lost: Callable[[], None] = lambda: None
         self.memory: MemoryPressure | None = None
+        self.purpose = DataPurpose.RESPONSE
         self._is_reading_paused = False  # for lack of memory
         self._max_body_bytes = max_body_bytes
         self._response_timeout_s = response_timeout_s
@@ -92,7 +95,7 @@
 
     def request(
         self,
-        data: bytes,
+        data: bytes | EncodedMessage,
         on_response: ResponseCallback,
         is_wanted: Callable[[], bool] = lambda: True,
     ) -> None:
@@ -105,9 +108,12 @@
         """
         assert self._transport is not None
         self._on_response = on_response
-        self._response_reader = ResponseReader(self._max_body_bytes)
+        max_match_bytes = DEFAULT_MAX_MATCH_BYTES if self.memory is None else self.memory.max_match_bytes
+        self._response_reader = ResponseReader(self._max_body_bytes, max_match_bytes)
         self._transmission = RequestTransmission(self._transport, is_wanted)
-        self._transmission.start(data)
+        self._transmission.start(data if isinstance(data, EncodedMessage) else EncodedMessage(data))
+        if self._transport.get_write_buffer_size():
+            self._account_buffer()
 
     def abort(self) -> None:
         """Close at once; what has not been written or parsed yet never will be."""
@@ -140,12 +146,11 @@
         """Continue with a long request: the transport's write buffer is empty."""
         if self._on_response is not None and self._transmission is not None:
             self._transmission.on_buffer_empty()
+            self._account_buffer()
 
-    def get_buffer(self, sizehint: int) -> memoryview:
-        """Return the buffer for the next read; a small one while memory is short."""
-        buffer = super().get_buffer(sizehint)
-        is_short = self.memory is not None and self.memory.exists()
-        return buffer[:PRESSURE_READ_BYTES] if is_short else buffer
+    def readable_bytes(self) -> int:
+        """Return how many bytes may be read at once: as many as may be buffered."""
+        return READ_BUFFER_BYTES if self.memory is None else self.memory.readable_bytes(self)
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; bytes without a request in flight close the connection."""
@@ -156,8 +161,7 @@
         self._response_reader.receive(data)
         self._parse()
         self._start_response_timer()
-        if self.memory is not None and self._response_reader is not None:
-            self.memory.buffer_changed(self)
+        self._account_buffer()
 
     def eof_received(self) -> bool:
         """Complete a response that announces no length; the transport then closes."""
@@ -181,8 +185,15 @@
 
     @property
     def buffered_bytes(self) -> int:
-        """The memory that an incomplete response takes."""
-        return self._response_reader.buffered_bytes if self._response_reader is not None else 0
+        """The size of an incomplete response, and of what has not been written of a request."""
+        response_bytes = self._response_reader.buffered_bytes if self._response_reader is not None else 0
+        unwritten_bytes = self._transport.get_write_buffer_size() if self._transport is not None else 0
+        return response_bytes + unwritten_bytes
+
+    def _account_buffer(self) -> None:
+        """Record how much is buffered, unless a response was complete at once."""
+        if self.memory is not None and self._on_response is not None:
+            self.memory.buffer_changed(self)
 
     def is_incomplete(self) -> bool:
         """Return whether a part of a response has been received, and more is expected."""
--- a/sidecar/proxy/sockets.py
+++ b/sidecar/proxy/sockets.py
@@ -8,10 +8,11 @@
 
 from sidecar.proxy.addresses import Address
 
-_READ_BUFFER_BYTES = 64 * 1024
+READ_BUFFER_BYTES = 64 * 1024  # the most that is read at once
+_MIN_READ_BYTES = 256  # asyncio reads at least something whenever it reads
 
 # Shared by all connections: the data of each read is copied out before the next read.
-_READ_BUFFER = memoryview(bytearray(_READ_BUFFER_BYTES))
+_READ_BUFFER = memoryview(bytearray(READ_BUFFER_BYTES))
 
 
 class SharedBufferProtocol(asyncio.BufferedProtocol):
@@ -21,8 +22,17 @@
     """
 
     def get_buffer(self, _sizehint: int) -> memoryview:
-        """Return the shared buffer; called by the transport before each read."""
-        return _READ_BUFFER
+        """Return the shared buffer, as far as it may be filled; called by the transport before each read."""
+        byte_count = self.readable_bytes()
+        return (
+            _READ_BUFFER
+            if byte_count >= READ_BUFFER_BYTES
+            else _READ_BUFFER[: max(byte_count, _MIN_READ_BYTES)]
+        )
+
+    def readable_bytes(self) -> int:
+        """Return how many bytes may be read at once; subclasses may limit it."""
+        return READ_BUFFER_BYTES
 
     def buffer_updated(self, nbytes: int) -> None:
         """Pass the data that the transport has read to `data_received`."""
@@ -55,6 +65,14 @@
     return False
 
 
+def peek_unread_bytes(sock: socket.socket) -> int:
+    """Return how many bytes a connection has to read, up to 64 KiB; 0 if there is none, or an error."""
+    try:
+        return sock.recv_into(_READ_BUFFER, READ_BUFFER_BYTES, socket.MSG_PEEK)
+    except OSError:
+        return 0
+
+
 def is_connected(sock: socket.socket) -> bool:
     """Return whether a connection attempt on a socket has succeeded."""
     try:
--- a/sidecar/proxy/syntax_check.py
+++ b/sidecar/proxy/syntax_check.py
@@ -2,7 +2,8 @@
 
 h11 matches a header line and the line ahead of a chunk with regular expressions.  Where such a line does not
 match, the time that they take may grow with the square of the number of its blanks.  The lines that pass this
-check are matched in linear time, and h11 finds all their other errors.
+check are matched in linear time, and h11 finds all their other errors.  The memory of a match grows with the
+words of a header line and with the length of a status line, so these are limited, too.
 """
 
 from __future__ import annotations
@@ -15,7 +16,13 @@
 MAX_HEADERS = 256
 _HEADS = (h11.Request, h11.Response)
 _EVENTS_WITH_HEADERS = (*_HEADS, h11.InformationalResponse, h11.EndOfMessage)
-_MAX_STATUS_LINE_BYTES = 8 * 1024  # matching it takes 200 times as much memory
+_MAX_STATUS_LINE_BYTES = 8 * 1024
+DEFAULT_MAX_MATCH_BYTES = 16 * 1024 * 1024  # no section is so large that its match takes more
+# What h11 takes for a moment while it matches a line.
+_MATCH_BYTES_PER_WORD = 350
+_MATCH_BYTES_PER_STATUS_BYTE = 250
+_SHORTEST_WORD_BYTES = 2  # with the blank before it
+_LINE_START = re.compile(rb"\n(?![ \t])")  # a line that begins with a blank continues the one before it
 _FORBIDDEN_BYTES = b"\x00\x0b\x0c"
 _LINE_BREAK = b"\r\n"
 _EMPTY_LINES = (b"\n", _LINE_BREAK)
@@ -38,12 +45,17 @@
 class SyntaxCheck:
     """Checks the lines of one message; it has to see all data that h11 holds before h11 parses it."""
 
-    def __init__(self, our_role: type[h11.CLIENT | h11.SERVER]) -> None:
+    def __init__(
+        self, our_role: type[h11.CLIENT | h11.SERVER], max_match_bytes: int = DEFAULT_MAX_MATCH_BYTES
+    ) -> None:
         """Create the check of a message that begins with its head.
 
         Args:
             our_role: h11.SERVER to check a request, h11.CLIENT to check a response.
+            max_match_bytes: How much memory the match of one line may take, in bytes.
         """
+        self._max_words = max_match_bytes // _MATCH_BYTES_PER_WORD
+        self._max_status_bytes = min(_MAX_STATUS_LINE_BYTES, max_match_bytes // _MATCH_BYTES_PER_STATUS_BYTE)
         self._is_response = our_role is h11.CLIENT
         self._part = _Part.HEAD
         self._checked_bytes = 0  # of the section that h11 holds until it is complete
@@ -110,11 +122,19 @@
         if end is None and data.count(b"\n") > MAX_HEADERS:
             raise _TooManyHeadersError
         if self._is_response and self._part is _Part.HEAD:
-            _check_status_line(data)
+            _check_status_line(data, self._max_status_bytes)
+        if end is not None and end >= self._max_words * _SHORTEST_WORD_BYTES:
+            self._check_words(data[:end])
         self._checked_bytes = len(data) if end is None else end
         if end is not None and self._part is _Part.HEAD:
             self._names_transfer_encoding = _TRANSFER_ENCODING in data[:end].lower()
 
+    def _check_words(self, section: bytes) -> None:
+        """Check that no line has too many words."""
+        for line in _LINE_START.split(section):
+            if line.count(b" ") + line.count(b"\t") > self._max_words:
+                raise _TooManyWordsError(self._max_words)
+
 
 class _MalformedLineError(h11.RemoteProtocolError):
     """A line contains a character that none may contain, or a line break in the wrong place."""
@@ -130,11 +150,18 @@
         super().__init__(f"more than {MAX_HEADERS} headers")
 
 
+class _TooManyWordsError(h11.RemoteProtocolError):
+    """A header line has more words than there is memory to match."""
+
+    def __init__(self, max_words: int) -> None:
+        super().__init__(f"more than {max_words} words in a header line")
+
+
 class _StatusLineTooLongError(h11.RemoteProtocolError):
     """The first line of a response is too long."""
 
-    def __init__(self) -> None:
-        super().__init__(f"status line longer than {_MAX_STATUS_LINE_BYTES} bytes")
+    def __init__(self, max_bytes: int) -> None:
+        super().__init__(f"status line longer than {max_bytes} bytes")
 
 
 def is_chunked(head: h11.Request | h11.Response) -> bool:
@@ -161,6 +188,6 @@
         raise _MalformedLineError
 
 
-def _check_status_line(data: bytes) -> None:
-    if len(data) > _MAX_STATUS_LINE_BYTES and data.find(b"\n", 0, _MAX_STATUS_LINE_BYTES + 1) < 0:
-        raise _StatusLineTooLongError
+def _check_status_line(data: bytes, max_bytes: int) -> None:
+    if len(data) > max_bytes and data.find(b"\n", 0, max_bytes + 1) < 0:
+        raise _StatusLineTooLongError(max_bytes)
