Let an exchange that has ended keep no request

Saw: with 130 peers whose requests of 60 kB are in flight at servers that break off, RSS reached 29.4 to 31.2 MB of 32 while 3.6 MB were counted, and stayed there when nothing was (256 descriptors). Cause: a connection to a server kept the transmission of its latest request, which refers to the exchange, its encoder, and so to the request and its body, while it was idle in the pool or until the next collection of reference cycles. Ruled out: the heap's gaps alone (malloc_trim in a trial: 29.6 MB at the peak, 22 when idle). Change: an exchange drops its encoder when it ends; a closed connection drops what it had not written.

--- a/sidecar/proxy/exchange.py
+++ b/sidecar/proxy/exchange.py
@@ -107,7 +107,7 @@
         self.connecting_socket: socket.socket | None = None
         self.has_local_failure = False
         self.timers: list[asyncio.TimerHandle] = []
-        self._encoder = encoder
+        self._encoder: RequestEncoder | None = encoder  # None: it has ended, and keeps no request
         self._on_outcome: OutcomeCallback | None = on_outcome
 
     def has_ended(self) -> bool:
@@ -120,6 +120,8 @@
 
     def encode_request(self, now: float) -> EncodedMessage | None:
         """Encode its request at an event loop time; return None if it is not wanted any more."""
+        if self._encoder is None:
+            return None
         return self._encoder.encode(max(self.deadline - now, 0.0))
 
     def check_still_wanted(self) -> bool:
@@ -148,6 +150,7 @@
         on_outcome, self._on_outcome = self._on_outcome, None
         if on_outcome is None:
             return
+        self._encoder = None
         for timer in self.timers:
             timer.cancel()
         self.server.dialing_exchanges.discard(self)
--- a/sidecar/proxy/request_transmission.py
+++ b/sidecar/proxy/request_transmission.py
@@ -58,6 +58,10 @@
                 return
             self._transport.write(piece)
 
+    def stop(self) -> None:
+        """Write nothing more, and keep nothing of the request."""
+        self._pieces = iter(())
+
     def _take_last_byte(self) -> bytes:
         """Return the byte that is held back, if it is to be written: all others have been accepted."""
         last_byte, self._last_byte = self._last_byte, b""
--- a/sidecar/proxy/server_connection.py
+++ b/sidecar/proxy/server_connection.py
@@ -177,6 +177,8 @@
             self._pacing.stop()
         self.has_local_failure = isinstance(exc, OSError) and exc.errno in LOCAL_ERRNOS
         self._cancel_response_timer()
+        if self._transmission is not None:
+            self._transmission.stop()
         self._free_response()
         self._notify(None)
         self.on_lost()
--- a/tests/proxy/test_closed_connection_memory.py
+++ b/tests/proxy/test_closed_connection_memory.py
@@ -19,6 +19,7 @@
     wait_until,
 )
 
+from sidecar.proxy import request_reader
 from sidecar.proxy.http_messages import Response
 from sidecar.proxy.server_connection import connect
 
@@ -128,3 +129,21 @@
         server.stop()
 
     run_scenario(scenario())
+
+
+# Guards against idle connections to servers that each keep the latest request (issue 39).
+def test_answered_request_is_not_kept_by_the_connection_to_its_server() -> None:
+    bodies = tracemalloc.Filter(True, request_reader.__file__)
+
+    async def scenario() -> None:
+        async with running_proxy(respond_ok) as proxy:
+            sent = (
+                proxy.send_request(kind="pay", body=bytes(DATA_BYTES), budget="500")
+                for _ in range(CONNECTIONS)
+            )
+            assert all(status == 200 for status, _, _ in await asyncio.gather(*sent))
+            await wait_until(proxy.sidecar.frontend.has_no_connections)
+            kept = tracemalloc.take_snapshot().filter_traces([bodies]).statistics("filename")
+            assert sum(each.size for each in kept) < CONNECTIONS * MAX_KEPT_BYTES
+
+    run_scenario(scenario())
