Evict peers that have not sent a request, or go on after their error, before idle clients

Cause: in a full table a connection that is paused for memory, that is new, or whose client goes on sending after its error could not be evicted, so idle ones were. Change: connections whose last response was written 0.1 s ago can be evicted with unread data; those that have sent nothing for 20 ms, too; incomplete requests that are paused are rejected, four at a time; an idle connection is evicted only if none of these is left or due within 20 ms. The new test fails without the change.

--- a/sidecar/proxy/client_transport.py
+++ b/sidecar/proxy/client_transport.py
@@ -50,6 +50,10 @@
         """
         return not self._write_blocked and not self.has_unread_data()
 
+    def is_written(self) -> bool:
+        """Return whether the last response has been fully written."""
+        return not self._write_blocked
+
     def is_parsing_deferred(self) -> bool:
         """Return whether a request has been read, perhaps completely, that waits to be parsed."""
         return self._pacing is not None and self._pacing.is_paused
--- a/sidecar/proxy/connection_table.py
+++ b/sidecar/proxy/connection_table.py
@@ -12,10 +12,11 @@
 from sidecar.proxy.overload import OverloadDetector
 
 _SWEEP_INTERVAL_S = 0.1
-# The request of a younger connection may be in transit, so other connections are evicted first.
+# The first request of a younger connection may be in transit, and the last response may not have been read.
 _NEW_CONNECTION_AGE_S = 0.1
+_MIN_EVICTION_AGE_S = 0.02  # of a connection that has not sent anything, where others wait to be accepted
 _MAX_IDLE_FRACTION = 3  # one of so many connections may be idle
-_MAX_EVICTION_CANDIDATES = 4  # connections of one state that are examined for eviction
+_MAX_EVICTION_CANDIDATES = 4  # connections of one state that are examined, or rejected, for one eviction
 
 
 class ConnectionTable:
@@ -143,35 +144,55 @@
         """Abort a connection without a request in flight to free capacity; return whether there was one.
 
         Connections whose last response has been written are evicted first, then those that have not sent a
-        complete request, then the longest idle.  New connections are evicted last, as their requests may be
-        in transit.  If there is none, a request that takes long to parse is rejected, and its connection is
-        aborted by a later call.
+        complete request, the oldest first.  Incomplete requests that are not read on are rejected; their
+        connections are evicted by later calls, if their clients do not close them before.  Idle connections
+        are evicted only when no others are left that will be evicted soon.
         """
-        chosen = self._choose_eviction()
+        chosen = self._choose_delivered() or self._choose_reading()
+        if chosen is None and not self._reject_paused() and not self._is_eviction_due_soon():
+            chosen = self._find_without_unread_data(ConnectionState.IDLE)
         if chosen is None:
-            return self._reject_deferred()
+            return False
         self.remove(chosen)
         chosen.abort()
         return True
 
-    def _choose_eviction(self) -> ClientConnection | None:
-        new_since = asyncio.get_running_loop().time() - _NEW_CONNECTION_AGE_S
-        delivering = self._by_state[ConnectionState.DELIVERING]
-        return (
-            next((connection for connection in delivering if connection.can_close_safely()), None)
-            or self._find_without_unread_data(ConnectionState.READING, new_since)
-            or self._find_without_unread_data(ConnectionState.IDLE)
-            or self._find_without_unread_data(ConnectionState.READING)
+    def _entered_before(self, age_s: float) -> float:
+        """Return the event loop time that was so many seconds ago."""
+        return asyncio.get_running_loop().time() - age_s
+
+    def _choose_reading(self) -> ClientConnection | None:
+        """Return a connection without a complete request, if any; a new one's request may be in transit."""
+        return self._find_without_unread_data(
+            ConnectionState.READING, self._entered_before(_MIN_EVICTION_AGE_S)
         )
 
-    def _reject_deferred(self) -> bool:
-        """Reject the request that has waited for longest to be parsed; return whether there was one."""
-        reading = self._by_state[ConnectionState.READING]
-        chosen = next((connection for connection in reading if connection.is_reading_paused()), None)
-        if chosen is None:
-            return False
-        chosen.on_state_timeout()
-        return True
+    def _is_eviction_due_soon(self) -> bool:
+        """Return whether a connection is too new to be evicted, or its last response was just written."""
+        delivering = self._by_state[ConnectionState.DELIVERING]
+        has_written = any(each.is_written() for each in islice(delivering, _MAX_EVICTION_CANDIDATES))
+        return has_written or bool(self._by_state[ConnectionState.READING] or self._pending)
+
+    def _choose_delivered(self) -> ClientConnection | None:
+        """Return a connection whose last response has been written and probably read, if any.
+
+        A client that goes on sending after its last response would keep its connection otherwise.
+        """
+        delivering = self._by_state[ConnectionState.DELIVERING]
+        new_since = self._entered_before(_NEW_CONNECTION_AGE_S)
+        for connection, since in islice(delivering.items(), _MAX_EVICTION_CANDIDATES):
+            if connection.can_close_safely() or (since < new_since and connection.is_written()):
+                return connection
+        return None
+
+    def _reject_paused(self) -> bool:
+        """Reject the longest incomplete requests that are not read on; return whether there were any."""
+        new_since = self._entered_before(_NEW_CONNECTION_AGE_S)
+        reading = islice(self._by_state[ConnectionState.READING].items(), _MAX_EVICTION_CANDIDATES)
+        chosen = [each for each, since in reading if since < new_since and each.is_reading_paused()]
+        for connection in chosen:
+            connection.on_state_timeout()
+        return bool(chosen)
 
     def _find_without_unread_data(
         self, state: ConnectionState, entered_before: float = math.inf
@@ -192,7 +213,7 @@
 
         The event loop reads sockets before it runs timers, so these have no unread data either.
         """
-        new_since = asyncio.get_running_loop().time() - _NEW_CONNECTION_AGE_S
+        new_since = self._entered_before(_NEW_CONNECTION_AGE_S)
         reading = self._by_state[ConnectionState.READING].items()
         return {
             connection
--- a/sidecar/proxy/frontend.py
+++ b/sidecar/proxy/frontend.py
@@ -20,6 +20,7 @@
 
 _ACCEPT_BATCH_SIZE = 64  # connections accepted before the event loop handles other events
 _ACCEPT_BACKOFF_S = 0.05  # delay after a failed accept, e.g. for lack of descriptors, to avoid a busy loop
+_EVICTION_BACKOFF_S = 0.02  # delay until a connection can be evicted
 
 
 class Frontend:
@@ -91,9 +92,9 @@
             self._queue_empty_at = earliest_arrival()
         asyncio.get_running_loop().remove_reader(self._sock)
 
-    def _back_off(self) -> None:
+    def _back_off(self, delay_s: float = _ACCEPT_BACKOFF_S) -> None:
         self._pause_accepting()
-        asyncio.get_running_loop().call_later(_ACCEPT_BACKOFF_S, self._resume_accepting)
+        asyncio.get_running_loop().call_later(delay_s, self._resume_accepting)
 
     def _accept(self, max_accepted: int = _ACCEPT_BATCH_SIZE) -> bool:
         """Accept the connections in the accept queue; return whether the queue is empty."""
@@ -129,7 +130,7 @@
         if not has_pending_connection(self._sock):
             return True
         if not self.table.evict_one():
-            self._back_off()
+            self._back_off(_EVICTION_BACKOFF_S)
         return False
 
     def _accept_failed(self, error: OSError) -> None:
--- a/sidecar/proxy/memory_layout.py
+++ b/sidecar/proxy/memory_layout.py
@@ -15,8 +15,8 @@
 MIB = 1024 * KIB
 DEFAULT_PROGRAM_BYTES = 20 * MIB  # resident before there are any connections, where it can't be read
 LEAST_SHARE_BYTES = KIB  # of data in each direction, for each client connection; most messages fit
-# How much memory a byte of buffered data takes at most: buffers grow in advance, shrink only by half, and leave
-# gaps in the heap.
+# How much memory a byte of buffered data takes at most: buffers grow in advance, shrink only by half, and
+# leave gaps in the heap.
 BUFFER_OVERHEAD = 2.0
 
 _CLIENT_CONNECTION_BYTES = 3584
--- a/tests/proxy/test_connection_capacity.py
+++ b/tests/proxy/test_connection_capacity.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import os
 import socket
 
@@ -17,6 +18,9 @@
     wait_until,
 )
 
+from sidecar.proxy.addresses import Address
+from sidecar.proxy.memory_layout import MIB, MemoryLayout
+
 
 def test_connections_beyond_the_capacity_replace_idle_ones() -> None:
     # Guards against exceeding the descriptor limit; of 66 sockets, one is left for clients.
@@ -143,3 +147,40 @@
                 writer.close()
 
     run_scenario(scenario())
+
+
+# Guards ordinary clients, whose idle connections were closed while bad peers kept theirs (issue 39).
+@pytest.mark.parametrize(
+    "bad_data", [b"", b"GET /api/1 HTTP/1.1\r\n", request("pay", body=bytes(60_000))[:-1]]
+)
+def test_idle_connection_outlives_bad_peers_that_fill_the_table(
+    bad_data: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    layout = MemoryLayout(max_connections=24, pool_bytes=100_000, max_match_bytes=MIB)
+    monkeypatch.setattr(MemoryLayout, "divide", lambda *_: layout)
+
+    async def bad_peer(address: Address) -> None:
+        while True:
+            with contextlib.suppress(OSError):
+                reader, writer = await asyncio.open_connection(*address)
+                writer.write(bad_data)
+                await reader.read()
+                writer.close()
+
+    async def scenario() -> None:
+        async with running_proxy(respond_ok) as proxy:
+            address = proxy.sidecar.frontend.address
+            reader, writer = await proxy.connect()
+            writer.write(request(X_Call_Id="first"))
+            assert (await read_response(reader))[0] == 200
+            peers = [asyncio.create_task(bad_peer(address)) for _ in range(36)]
+            for number in range(10):
+                assert (await proxy.send_request(X_Call_Id=f"{number}"))[0] == 200
+            writer.write(request(X_Call_Id="second"))
+            assert (await read_response(reader))[0] == 200
+            for each in peers:
+                each.cancel()
+            await asyncio.gather(*peers, return_exceptions=True)
+            writer.close()
+
+    run_scenario(scenario())
