Read on only with memory after data has been parsed in turns, and end each wait

Cause, found by reading the change: a connection whose data was parsed in turns was read on afterwards although it waited for memory; and one whose message was completed by then still counted as waiting, so that others' incomplete requests were rejected. The program's size was read after the configuration, whose gaps in the heap count as used. Change: both kinds of pause are looked at when one of them ends; a wait ends with its message; the size is read first. The registry's responses may fill what the pool and its reserve hold in memory, not in counted bytes. Measured: both new tests fail without the change.

--- a/sidecar/__main__.py
+++ b/sidecar/__main__.py
@@ -32,11 +32,12 @@
 _EXIT_BAD_CONFIGURATION = 2
 
 
-async def serve(config: Config) -> None:
+async def serve(config: Config, program_bytes: int) -> None:
     """Serve until SIGTERM or SIGINT; SIGHUP reloads the configuration.
 
     Args:
         config: The initial configuration.
+        program_bytes: The memory that the process needs without connections and without endpoint list.
 
     Raises:
         OSError: The listen address can't be bound.
@@ -45,7 +46,7 @@
     loop = asyncio.get_running_loop()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, stop.set)
-    sidecar = Sidecar(config, resident_bytes() or DEFAULT_PROGRAM_BYTES)
+    sidecar = Sidecar(config, program_bytes)
     handler = ReloadSignalHandler(Reloader(config, sidecar.reconfigure), _reread_config)
     loop.add_signal_handler(signal.SIGHUP, handler.handle_signal)
     await sidecar.run(stop)
@@ -58,6 +59,9 @@
 def main() -> int:
     """Run the sidecar; return the exit code of the process."""
     configure_logging()
+    program_bytes = (
+        resident_bytes() or DEFAULT_PROGRAM_BYTES
+    )  # before a long configuration leaves gaps behind
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # ignored until there is a configuration to reload
     try:
         config = read_config(os.environ)
@@ -68,7 +72,7 @@
     gc.set_threshold(*GC_THRESHOLDS)
     try:
         with asyncio.Runner(loop_factory=EventLoop) as runner:
-            runner.run(serve(config))
+            runner.run(serve(config, program_bytes))
     except OSError as error:
         print(f"can't serve: {error}", file=sys.stderr)
         return _EXIT_CANNOT_SERVE
--- a/sidecar/proxy/client_connection.py
+++ b/sidecar/proxy/client_connection.py
@@ -259,6 +259,7 @@
         self._pacing.update()
         if was_paused and not self._pacing.is_paused:  # unread data arrived during the pause
             self.on_reading_resumed()
+            self._pause_again()
 
     def _fail_unhandled(self) -> None:
         """Reject the request whose handling raised an unexpected error; half-close if it was answered."""
--- a/sidecar/proxy/client_transport.py
+++ b/sidecar/proxy/client_transport.py
@@ -77,6 +77,11 @@
             self.on_reading_resumed()
             self._transport.resume_reading()
 
+    def _pause_again(self) -> None:
+        """Stay paused after received data has been parsed, if there is another reason not to read on."""
+        if self._transport is not None and self.is_reading_paused():
+            self._transport.pause_reading()
+
     def on_reading_resumed(self) -> None:
         """Handle that reading goes on after a pause; what is read next may have waited."""
 
--- a/sidecar/proxy/memory_pressure.py
+++ b/sidecar/proxy/memory_pressure.py
@@ -13,7 +13,7 @@
 
 from sidecar.proxy.buffer_budget import BufferBudget, DataPurpose
 from sidecar.proxy.connection_table import ConnectionTable
-from sidecar.proxy.memory_layout import LEAST_SHARE_BYTES
+from sidecar.proxy.memory_layout import BUFFER_OVERHEAD, LEAST_SHARE_BYTES, REGISTRY_RESERVE_BYTES
 from sidecar.proxy.pause_reason import PauseReason
 from sidecar.proxy.sockets import READ_BUFFER_BYTES
 from sidecar.proxy.syntax_check import DEFAULT_MAX_MATCH_BYTES
@@ -21,7 +21,7 @@
 # How long a request may be incomplete under pressure: less than the half second that an answer may be late.
 _MAX_INCOMPLETE_S = 0.35
 _CHECK_INTERVAL_S = 0.05
-_REGISTRY_COPIES = 3  # of a response while it is decoded: bytes, text, and its entries
+_REGISTRY_COPIES = 3  # of a response while it is decoded: as received, as a whole, and as text
 _RESUME_BYTES = 4 * 1024  # free for each connection that is read on; most of the messages that wait then fit
 
 
@@ -84,7 +84,8 @@
     @property
     def max_registry_response_bytes(self) -> int:
         """The largest response of the registry that fits while it is received and decoded."""
-        return self._budget.limit(DataPurpose.REGISTRY) // _REGISTRY_COPIES
+        pool_memory = int(self._budget.pool_bytes * BUFFER_OVERHEAD)
+        return (pool_memory + REGISTRY_RESERVE_BYTES) // _REGISTRY_COPIES
 
     def exists(self) -> bool:
         """Return whether connections wait for memory."""
@@ -93,12 +94,16 @@
     def buffer_changed(self, connection: BufferingConnection) -> None:
         """Record how much a connection buffers, and stop reading it if it may not read any more."""
         self._budget.record(connection, connection.buffered_bytes)
+        waiting = self._waiting[connection.purpose]
         if connection.is_incomplete() and not self.readable_bytes(connection):
             connection.pause_reading(PauseReason.MEMORY)
-            self._waiting[connection.purpose].setdefault(connection)
+            waiting.setdefault(connection)
             self._schedule_check()
-        else:
-            self._resume_waiting()
+            return
+        if connection in waiting:
+            del waiting[connection]
+            connection.resume_reading(PauseReason.MEMORY)
+        self._resume_waiting()
 
     def release(self, connection: BufferingConnection) -> None:
         """Forget a connection that has been closed, or whose message is complete."""
--- a/sidecar/proxy/server_connection.py
+++ b/sidecar/proxy/server_connection.py
@@ -237,6 +237,8 @@
             self._handle_parsed(partial(self._response_reader.parse, max_events))
         if self._pacing is not None:
             self._pacing.update()
+        if self._is_reading_paused and self._transport is not None:
+            self._transport.pause_reading()  # the pacing may have resumed it
 
     def _handle_parsed(self, parse: Callable[[], ReceivedResponse | None]) -> None:
         """Call a method of the response reader, and handle the response if it is complete."""
--- a/tests/proxy/test_memory_limit.py
+++ b/tests/proxy/test_memory_limit.py
@@ -10,10 +10,12 @@
 
 import pytest
 from balancer_harness import SECOND_US
+from parsing_cost import chunked_request
 from program_harness import SETTINGS, running_program
 from proxy_harness import (
     FakeServer,
     Headers,
+    ProxyHarness,
     encode_response,
     read_response,
     request,
@@ -27,6 +29,8 @@
 from sidecar.proxy import memory_pressure
 from sidecar.proxy.addresses import Address
 from sidecar.proxy.buffer_budget import BufferBudget, DataPurpose
+from sidecar.proxy.client_connection import ClientConnection
+from sidecar.proxy.connection_table import ConnectionTable
 from sidecar.proxy.memory_layout import (
     BUFFER_OVERHEAD,
     CONNECTION_BYTES,
@@ -37,6 +41,7 @@
     WORKING_BYTES,
     MemoryLayout,
 )
+from sidecar.proxy.pause_reason import PauseReason
 
 LEAST_MEMORY_MB = 32  # the least limit that the platform sets
 LARGE = bytes(64 * 1024)
@@ -249,3 +254,68 @@
     assert full.max_connections == 480
     assert MemoryLayout.divide(32, 26 * MIB, 480, 0).max_connections < 480
     assert MemoryLayout.divide(1, 20 * MIB, 480, 0).max_connections > 0
+
+
+# Guards against reading on without memory when data that took long to parse has been parsed (issue 39).
+def test_connection_that_waits_for_memory_is_not_read_on_once_its_data_is_parsed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(memory_pressure, "_MAX_INCOMPLETE_S", 600.0)
+    layout = MemoryLayout(max_connections=96, pool_bytes=8_000, max_match_bytes=MIB)
+    monkeypatch.setattr(MemoryLayout, "divide", lambda *_: layout)
+
+    async def scenario() -> None:
+        async with running_proxy(respond_ok) as proxy:
+            _, holder = await proxy.connect()
+            holder.write(request("pay", body=bytes(60_000))[:-1])
+            await wait_until(proxy.sidecar._memory.exists)
+            _, writer = await proxy.connect()
+            writer.write(chunked_request(bytes(600)))
+            (connection,) = await wait_for_second(proxy, holder)
+            await wait_until(lambda: PauseReason.MEMORY in connection._pause_reasons)
+            await wait_until(lambda: not connection.is_parsing_deferred())
+            assert connection._transport is not None
+            assert not connection._transport.is_reading()
+            holder.close()
+            await wait_until(connection._transport.is_reading)
+            writer.close()
+
+    async def wait_for_second(proxy: ProxyHarness, first: asyncio.StreamWriter) -> list[ClientConnection]:
+        port = first.get_extra_info("sockname")[1]
+        frontend = proxy.sidecar.frontend
+        await wait_until(lambda: len(frontend.connections) == 2)
+        return [each for each in frontend.connections if each._sock.getpeername()[1] != port]
+
+    run_scenario(scenario())
+
+
+# Guards against rejecting others because a connection that has ended its request counts as waiting.
+def test_connection_whose_message_is_complete_waits_no_longer() -> None:
+    class Connection:
+        purpose = DataPurpose.REQUEST
+        buffered_bytes = 0
+        incomplete = True
+        paused = False
+
+        def is_incomplete(self) -> bool:
+            return self.incomplete
+
+        def pause_reading(self, _reason: PauseReason) -> None:
+            self.paused = True
+
+        def resume_reading(self, _reason: PauseReason) -> None:
+            self.paused = False
+
+    async def scenario() -> None:
+        memory = memory_pressure.MemoryPressure(BufferBudget(100), ConnectionTable(1))
+        connection = Connection()
+        connection.buffered_bytes = LEAST_SHARE_BYTES + 100
+        memory.buffer_changed(connection)
+        assert connection.paused
+        assert memory.exists()
+        connection.incomplete = False
+        memory.buffer_changed(connection)
+        assert not connection.paused
+        assert not memory.exists()
+
+    run_scenario(scenario())
