--- a/sidecar/proxy/memory_layout.py
+++ b/sidecar/proxy/memory_layout.py
@@ -11,6 +11,8 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+from sidecar.proxy.request_ids import MAX_REMEMBERED_IDS, REMEMBERED_ID_BYTES
+
 KIB = 1024
 MIB = 1024 * KIB
 DEFAULT_PROGRAM_BYTES = 20 * MIB  # resident before there are any connections, where it can't be read
@@ -38,7 +40,6 @@
 _MIN_MATCH_BYTES = 256 * KIB
 _MAX_MATCH_BYTES = 12 * MIB
 _MIN_POOL_BYTES = MIB
-_LIST_TEXT_BYTES = 384  # of an entry, while a list is received and decoded
 _MIN_CONNECTIONS = 16
 _STATM_RESIDENT_FIELD = 1
 
@@ -70,12 +71,12 @@
             server_count: The number of servers on the endpoint list.
         """
         rest = int(memory_mb * MIB) - program_bytes - WORKING_BYTES - server_count * SERVER_BYTES
+        rest -= MAX_REMEMBERED_IDS * REMEMBERED_ID_BYTES
         match_bytes = min(max(rest // _MATCH_FRACTION, _MIN_MATCH_BYTES), _MAX_MATCH_BYTES)
         rest -= match_bytes + REGISTRY_RESERVE_BYTES
-        min_pool = _MIN_POOL_BYTES + server_count * _LIST_TEXT_BYTES
-        fitting = max((rest - min_pool) // CONNECTION_BYTES, _MIN_CONNECTIONS)
+        fitting = max((rest - _MIN_POOL_BYTES) // CONNECTION_BYTES, _MIN_CONNECTIONS)
         connections = min(max_connections, fitting)
-        pool_memory = max(rest - connections * CONNECTION_BYTES, min_pool)
+        pool_memory = max(rest - connections * CONNECTION_BYTES, _MIN_POOL_BYTES)
         return cls(connections, int(pool_memory / BUFFER_OVERHEAD), match_bytes)
 
 
--- a/sidecar/proxy/request_ids.py
+++ b/sidecar/proxy/request_ids.py
@@ -6,19 +6,24 @@
 from collections import OrderedDict
 
 MAX_REMEMBERED_IDS = 8192  # beyond those that have to be remembered
+REMEMBERED_ID_BYTES = 160  # memory for each of them
 
 
 class RequestIds:
-    """Ids of requests in progress, and of the latest ones that may have been executed."""
+    """Ids of requests in progress, and of the latest ones that may have been executed.
+
+    Of the latter only hashes of 64 bits are kept, so that long ids take no more memory than short ones.  If two
+    ids ever had the same hash, the later one would be rejected.
+    """
 
     def __init__(self) -> None:
         """Create an empty collection."""
         self._in_progress: set[str] = set()
-        # The event loop time until which each id has to be remembered, oldest first.
-        self._executed: OrderedDict[str, float] = OrderedDict()
+        # The event loop time until which each id has to be remembered, by its hash, oldest first.
+        self._executed: OrderedDict[int, float] = OrderedDict()
 
     def __contains__(self, request_id: object) -> bool:
-        return request_id in self._in_progress or request_id in self._executed
+        return request_id in self._in_progress or hash(request_id) in self._executed
 
     def __len__(self) -> int:
         return len(self._in_progress) + len(self._executed)
@@ -41,7 +46,7 @@
         """
         self._in_progress.discard(request_id)
         loop = asyncio.get_running_loop()
-        self._executed[request_id] = loop.time() + client_timeout_s
+        self._executed[hash(request_id)] = loop.time() + client_timeout_s
         loop.call_later(client_timeout_s, self._forget_oldest)
 
     def _forget_oldest(self) -> None:
--- a/tests/proxy/test_memory_limit.py
+++ b/tests/proxy/test_memory_limit.py
@@ -42,6 +42,7 @@
     MemoryLayout,
 )
 from sidecar.proxy.pause_reason import PauseReason
+from sidecar.proxy.request_ids import MAX_REMEMBERED_IDS, REMEMBERED_ID_BYTES
 
 LEAST_MEMORY_MB = 32  # the least limit that the platform sets
 LARGE = bytes(64 * 1024)
@@ -245,6 +246,7 @@
     used_bytes = layout.max_connections * CONNECTION_BYTES + layout.pool_bytes * BUFFER_OVERHEAD
     used_bytes += program_bytes + servers * SERVER_BYTES + WORKING_BYTES
     used_bytes += layout.max_match_bytes + REGISTRY_RESERVE_BYTES
+    used_bytes += MAX_REMEMBERED_IDS * REMEMBERED_ID_BYTES
     assert used_bytes <= memory_mb * MIB
     assert 0 < layout.max_connections <= connections
 
--- a/tests/proxy/test_request_ids.py
+++ b/tests/proxy/test_request_ids.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+import tracemalloc
 from collections.abc import Callable
 
 import pytest
@@ -120,3 +122,26 @@
             writer.close()
 
     run_scenario(scenario())
+
+
+# Guards against megabytes of memory for long ids that have to be remembered (issue 39).
+def test_remembered_ids_take_little_memory_however_long_they_are() -> None:
+    async def scenario() -> None:
+        ids = request_ids.RequestIds()
+        tracemalloc.start()
+        try:
+            for number in range(request_ids.MAX_REMEMBERED_IDS):
+                ids.release_executed(f"{number:0256x}", 0.0)
+            for _ in range(3):
+                await asyncio.sleep(0)  # all timers are due
+            kept = tracemalloc.take_snapshot().filter_traces(
+                [tracemalloc.Filter(True, __file__), tracemalloc.Filter(True, request_ids.__file__)]
+            )
+        finally:
+            tracemalloc.stop()
+        kept_bytes = sum(each.size for each in kept.statistics("filename"))
+        assert kept_bytes < request_ids.MAX_REMEMBERED_IDS * request_ids.REMEMBERED_ID_BYTES
+        assert f"{7:0256x}" in ids
+        assert "7" not in ids
+
+    run_scenario(scenario())
