--- a/sidecar/proxy/request_ids.py
+++ b/sidecar/proxy/request_ids.py
@@ -12,8 +12,8 @@
 class RequestIds:
     """Ids of requests in progress, and of the latest ones that may have been executed.
 
-    Of the latter only hashes of 64 bits are kept, so that long ids take no more memory than short ones.  If two
-    ids ever had the same hash, the later one would be rejected.
+    Of the latter only hashes of 64 bits are kept, so that long ids take no more memory than short ones.  If
+    two ids ever had the same hash, the later one would be rejected.
     """
 
     def __init__(self) -> None:
