Log how memory is divided, and when it gets short

Change: one line at the start with the division; one when connections begin to wait for memory, and one after it with the rejected requests and the resident memory, each at most once a second. Measured: the new test fails without the change.

--- a/sidecar/proxy/driver.py
+++ b/sidecar/proxy/driver.py
@@ -38,7 +38,7 @@
 from sidecar.proxy.frontend import Frontend
 from sidecar.proxy.health_checks import HealthChecker
 from sidecar.proxy.loop_lag import LoopLagMonitor
-from sidecar.proxy.memory_layout import DEFAULT_PROGRAM_BYTES, MemoryLayout
+from sidecar.proxy.memory_layout import DEFAULT_PROGRAM_BYTES, MIB, MemoryLayout
 from sidecar.proxy.memory_pressure import MemoryPressure
 from sidecar.proxy.request_lifecycle import RequestLifecycle
 from sidecar.proxy.shutdown import GracefulShutdown
@@ -87,6 +87,7 @@
         self._max_connections = max((config.sockets - RESERVED_DESCRIPTORS) // 2, 1)
         limits = settings.limits
         layout = self._divide_memory(len(config.cached_endpoints.endpoints))
+        log.info("memory: %.0f MiB, program %d MiB, %s", config.memory_mb, program_bytes // MIB, layout)
         table = ConnectionTable(layout.max_connections)
         self._memory = MemoryPressure(BufferBudget(layout.pool_bytes), table, layout.max_match_bytes)
         self._pool = ConnectionPool(
--- a/sidecar/proxy/memory_pressure.py
+++ b/sidecar/proxy/memory_pressure.py
@@ -15,6 +15,7 @@
 from sidecar.proxy.connection_table import ConnectionTable
 from sidecar.proxy.memory_layout import BUFFER_OVERHEAD, LEAST_SHARE_BYTES, REGISTRY_RESERVE_BYTES
 from sidecar.proxy.pause_reason import PauseReason
+from sidecar.proxy.shortage_log import ShortageLog
 from sidecar.proxy.sockets import READ_BUFFER_BYTES
 from sidecar.proxy.syntax_check import DEFAULT_MAX_MATCH_BYTES
 
@@ -69,6 +70,7 @@
         # The connections that are not read for lack of memory, the longest waiting first.
         self._waiting: dict[DataPurpose, dict[BufferingConnection, None]] = {each: {} for each in DataPurpose}
         self._is_check_scheduled = False
+        self._log = ShortageLog(budget)
 
     def readable_bytes(self, connection: BufferingConnection) -> int:
         """Return how many bytes a connection may read now."""
@@ -130,12 +132,15 @@
         if not self._is_check_scheduled:
             self._is_check_scheduled = True
             asyncio.get_running_loop().call_later(_CHECK_INTERVAL_S, self._check)
+            self._log.begin()
 
     def _check(self) -> None:
         self._is_check_scheduled = False
         self._reject_longest_incomplete()
         if self.exists():
             self._schedule_check()
+        else:
+            self._log.end()
 
     def _reject_longest_incomplete(self) -> None:
         latest = asyncio.get_running_loop().time() - _MAX_INCOMPLETE_S
@@ -144,6 +149,7 @@
                 return
             if self._budget.pooled_bytes_of(connection):
                 connection.reject_incomplete()
+                self._log.rejected_requests += 1
                 self._budget.record(connection, connection.buffered_bytes)
                 self._waiting[connection.purpose].pop(connection, None)
                 self._resume_waiting()
--- a/tests/proxy/test_memory_limit.py
+++ b/tests/proxy/test_memory_limit.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import logging
 import resource
 from collections.abc import AsyncIterator, Callable, Iterator
 from pathlib import Path
@@ -321,3 +322,18 @@
         assert not memory.exists()
 
     run_scenario(scenario())
+
+
+# Guards against a process over its limit without a line that tells why.
+def test_shortage_of_memory_is_logged_once_when_it_begins(
+    monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
+    caplog.set_level(logging.INFO)
+
+    async def scenario() -> None:
+        async with proxy_short_of_memory(monkeypatch, holders=4):
+            lines = [each.getMessage() for each in caplog.records]
+            assert sum(line.startswith("memory: 192 MiB") for line in lines) == 1
+            assert sum(line.startswith("short of memory for data") for line in lines) == 1
+
+    run_scenario(scenario())
