--- a/sidecar/proxy/client_connection.py
+++ b/sidecar/proxy/client_connection.py
@@ -9,10 +9,9 @@
 
 import h11
 
-from sidecar.proxy.arrival_time import ArrivalTime
 from sidecar.proxy.buffer_budget import DataPurpose
+from sidecar.proxy.client_buffer import ClientBuffer
 from sidecar.proxy.client_request import ClientRequest
-from sidecar.proxy.client_transport import ClientTransport
 from sidecar.proxy.connection_owner import ConnectionOwner
 from sidecar.proxy.connection_state import ConnectionState
 from sidecar.proxy.http_messages import Headers, encode_response
@@ -29,7 +28,7 @@
     RequestTimeoutError,
 )
 from sidecar.proxy.request_lookahead import RequestLookahead
-from sidecar.proxy.request_reader import MAX_BODY_BYTES, ReceivedRequest, RequestReader
+from sidecar.proxy.request_reader import MAX_BODY_BYTES, ReceivedRequest
 from sidecar.proxy.request_routing import ImmediateResponse, route_request
 from sidecar.proxy.request_transmission import transmission_bytes
 from sidecar.proxy.sockets import READ_BUFFER_BYTES, has_peer_closed, peek_unread_bytes
@@ -43,7 +42,7 @@
 _MAX_UNREAD_BYTES = 32 * 1024
 
 
-class ClientConnection(ClientTransport):
+class ClientConnection(ClientBuffer):
     """A connection from a client; it carries one request at a time.
 
     Attributes:
@@ -64,16 +63,12 @@
             connected_after: Event loop time before which no data can have arrived, in seconds.
             shed_load: Reject the first API request because of overload.
         """
-        super().__init__(sock)
+        super().__init__(sock, connected_after, owner.max_match_bytes)
         self.state = ConnectionState.READING
         self._owner = owner
         self._shed_load = shed_load
-        self._arrival = ArrivalTime(connected_after)
-        self._reader = RequestReader(self._write, owner.max_match_bytes)
-        self._lookahead: RequestLookahead | None = None  # None until data is pipelined
         self._request: ClientRequest | None = None  # the request in flight
         self._is_accounted = False
-        self._discarded_bytes: int | None = None  # discarded so far; None while data is parsed
 
     # -- asyncio protocol -----------------------------------------------------------------------------
 
@@ -150,16 +145,6 @@
         self._look_ahead(self._lookahead, max_events)
         return self._lookahead.has_backlog
 
-    def has_partial_request(self) -> bool:
-        """Return whether part of a request without a response has been read."""
-        return self._reader.has_partial_request()
-
-    @property
-    def buffered_bytes(self) -> int:
-        """The size of the data of this connection."""
-        ahead_bytes = self._lookahead.buffered_bytes if self._lookahead is not None else 0
-        return self._reader.buffered_bytes + ahead_bytes + self.unwritten_bytes
-
     def is_idle(self) -> bool:
         """Return whether the connection may be closed: no request is in flight, partly read or unread."""
         if self.state not in (ConnectionState.READING, ConnectionState.IDLE):
@@ -192,10 +177,6 @@
         """Return whether a part of a request has been received, and no request is in flight."""
         return self.state is ConnectionState.READING and self.has_partial_request()
 
-    def on_reading_resumed(self) -> None:
-        """Record that unread data has waited; called by the transport side before reading goes on."""
-        self._arrival.set_next_waited(has_waited=self.has_unread_data())
-
     def check_unread(self) -> None:
         """Notice that the client has disconnected although data behind a request in flight stays unread.
 
@@ -249,18 +230,6 @@
         else:
             self._read(max_events)
 
-    def _has_backlog(self) -> bool:
-        return self._discarded_bytes is None and self._reader.has_backlog
-
-    def _update_pacing(self) -> None:
-        if self._pacing is None:
-            return
-        was_paused = self._pacing.is_paused
-        self._pacing.update()
-        if was_paused and not self._pacing.is_paused:  # unread data arrived during the pause
-            self.on_reading_resumed()
-            self._pause_again()
-
     def _fail_unhandled(self) -> None:
         """Reject the request whose handling raised an unexpected error; half-close if it was answered."""
         if self._reader.has_head:
@@ -422,8 +391,3 @@
             self._transport.write_eof()
         except OSError:
             self.abort()  # the client has already reset the connection
-
-    def _discard_received(self) -> None:
-        """Free the received data: nothing more is parsed on this connection."""
-        self._reader.discard_all()
-        self._lookahead = None
--- a/sidecar/proxy/driver.py
+++ b/sidecar/proxy/driver.py
@@ -87,7 +87,14 @@
         self._max_connections = max((config.sockets - RESERVED_DESCRIPTORS) // 2, 1)
         limits = settings.limits
         layout = self._divide_memory(len(config.cached_endpoints.endpoints))
-        log.info("memory: %.0f MiB, program %d MiB, %s", config.memory_mb, program_bytes // MIB, layout)
+        if layout.max_connections < self._max_connections:
+            log.warning(
+                "memory: %d of %d connections fit into %.0f MiB beside a program of %d MiB",
+                layout.max_connections,
+                self._max_connections,
+                config.memory_mb,
+                program_bytes // MIB,
+            )
         table = ConnectionTable(layout.max_connections)
         self._memory = MemoryPressure(BufferBudget(layout.pool_bytes), table, layout.max_match_bytes)
         self._pool = ConnectionPool(
