Count descriptors in a test only once the connection of the watch is up

Saw: test_accepted_socket_that_fails_is_closed_and_no_longer_counted failed once beside seven other test files: the number of descriptors never came back to what it was. Cause: it was counted before the sidecar's first call to the registry, whose two descriptors were then open for good. Change: the test waits for that call first; its check is the same.

--- a/tests/proxy/test_accept_faults.py
+++ b/tests/proxy/test_accept_faults.py
@@ -158,6 +158,7 @@
         async with running_proxy(respond_ok) as proxy:
             faults = record_loop_faults()
             await wait_until(lambda: proxy.sidecar.frontend._accepting)
+            await wait_until(lambda: proxy.discovery.targets)  # the connection of the watch counts, too
             descriptors_before = count_descriptors()
             inject(monkeypatch, proxy)
             client = socket.create_connection(proxy.sidecar.frontend.address)
