--- a/scale/http_client.py
+++ b/scale/http_client.py
@@ -39,7 +39,7 @@
 
     def __init__(self, address: Address) -> None:
         self._address = address
-        self._idle: list[_ClientConnection] = []
+        self._idle: list[ClientConnection] = []
 
     async def call(self, request: bytes, scheduled_at: float, timeout_s: float) -> CallResult:
         """Send a request; retry it once on a new connection if the reused one has been closed.
@@ -72,17 +72,17 @@
 
     async def _exchange_on_new_connection(self, request: bytes) -> Message:
         loop = asyncio.get_running_loop()
-        _, connection = await loop.create_connection(_ClientConnection, *self._address)
+        _, connection = await loop.create_connection(ClientConnection, *self._address)
         return await self._exchange(connection, request)
 
-    def _acquire_idle_connection(self) -> _ClientConnection | None:
+    def _acquire_idle_connection(self) -> ClientConnection | None:
         while self._idle:
             connection = self._idle.pop()
             if connection.is_open():
                 return connection
         return None
 
-    async def _exchange(self, connection: _ClientConnection, request: bytes) -> Message:
+    async def _exchange(self, connection: ClientConnection, request: bytes) -> Message:
         try:
             response = await connection.send(request)
         except (asyncio.CancelledError, ConnectionError):
@@ -101,7 +101,7 @@
         self._idle.clear()
 
 
-class _ClientConnection(asyncio.Protocol):
+class ClientConnection(asyncio.Protocol):
     """One connection, with at most one request in flight."""
 
     def __init__(self) -> None:
@@ -110,30 +110,36 @@
         self._response: asyncio.Future[Message] | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
 
     def connection_lost(self, _exc: Exception | None) -> None:
+        """Fail the request in flight."""
         if self._response is not None and not self._response.done():
             self._response.set_exception(
                 ConnectionResetError("connection lost before the response was complete")
             )
 
     def data_received(self, data: bytes) -> None:
+        """Complete the request in flight with its response."""
         for response in self._reader.feed(data):
             if self._response is not None and not self._response.done():
                 self._response.set_result(response)
 
     def is_open(self) -> bool:
+        """Return whether it is established and not closed."""
         return self._transport is not None and not self._transport.is_closing()
 
     def send(self, request: bytes) -> asyncio.Future[Message]:
+        """Write a request; return its response, or a ConnectionResetError if the connection ends before."""
         assert self._transport is not None
         self._response = asyncio.get_running_loop().create_future()
         self._transport.write(request)
         return self._response
 
     def close(self) -> None:
+        """Close it at once."""
         if self._transport is not None:
             self._transport.abort()
 
--- a/scale/memory/run.py
+++ b/scale/memory/run.py
@@ -112,7 +112,7 @@
         self._outcome.rest_mb = _memory_mb(sidecar, "VmRSS")
         peers = [self._start_peers(number) for number in range(PEER_PROCESSES)]
         until = time.monotonic() + self._scenario.duration_s
-        clients = [asyncio.create_task(self._clients.play(number, until)) for number in range(CLIENTS)]
+        clients = [asyncio.create_task(self._clients.play(until, number)) for number in range(CLIENTS)]
         for kill in self._scenario.kills:
             sidecar = await self._kill(sidecar, kill, until - self._scenario.duration_s)
         await asyncio.gather(*clients)
--- a/sidecar/proxy/endpoint_list.py
+++ b/sidecar/proxy/endpoint_list.py
@@ -84,7 +84,7 @@
         endpoints = [resolved.endpoint for resolved in response.endpoints]
         if endpoints:
             endpoints += self._remove_superseded()
-            self.on_length_changed(len(self._pool.servers))
+        self.on_length_changed(len(self._pool.servers))
         self._handle_event(RegistryUpdated(kind, endpoints, response.version))
 
     def _remove_superseded(self) -> list[Endpoint]:
--- a/tests/proxy/test_registry_json.py
+++ b/tests/proxy/test_registry_json.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 import pytest
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from sidecar.proxy.registry_json import decode_registry_response
@@ -47,6 +47,7 @@
 )
 
 
+@settings(max_examples=200, deadline=None, derandomize=True)
 @given(value=RESPONSES | VALUES, indent=st.sampled_from([None, 0, 2]), damage=st.integers(-1, 60))
 def test_decoding_by_entry_gives_what_decoding_the_whole_gives(
     value: object, indent: int | None, damage: int
