--- a/tests/proxy/test_memory_limit.py
+++ b/tests/proxy/test_memory_limit.py
@@ -350,3 +350,24 @@
             assert sum(line.startswith("memory: 95 of 96 connections fit") for line in lines) == 1
 
     run_scenario(scenario())
+
+
+# Guards against a list of thousands of servers that takes the process over its limit beside its connections.
+def test_longer_list_leaves_less_memory_for_data() -> None:
+    servers = 500
+
+    async def scenario() -> None:
+        async with running_proxy(respond_ok) as proxy:
+            budget = proxy.sidecar._memory._budget
+            before = budget.pool_bytes
+            entry = proxy.servers[0].entry
+            entries = [
+                entry(name=f"d-{n}", address=f"127.9.9.9:{n + 1}", status="leaving") for n in range(servers)
+            ]
+            proxy.discovery.push_update(42, entries)
+            await wait_until(lambda: budget.pool_bytes != before)
+            assert before - budget.pool_bytes == pytest.approx(
+                servers * SERVER_BYTES / BUFFER_OVERHEAD, abs=1
+            )
+
+    run_scenario(scenario())
